--- /dev/null
+++ b/src/magnoliaslip/core/group.py
@@ -0,0 +1,67 @@
+"""The members of a group as one instance sees them."""
+
+from dataclasses import dataclass, field
+from enum import IntEnum
+
+from magnoliaslip.core.address import Address
+
+
+class MemberState(IntEnum):
+    """The life cycle of an instance; values match ``peer.proto``."""
+
+    JOINING = 0
+    SERVING = 1
+    LEAVING = 2
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceEntry:
+    """One line of the platform's list of instances."""
+
+    id: str
+    zone: str
+    data: Address
+    control: Address
+    leaving: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class Member:
+    """A live member of the group.
+
+    Attributes:
+        id: Identifier of the instance.
+        zone: Its availability zone.
+        state: Its last announced state.
+        incarnation: Number that rises with every start of the process.
+    """
+
+    id: str
+    zone: str
+    state: MemberState = MemberState.SERVING
+    incarnation: int = 0
+
+
+@dataclass(slots=True, frozen=True)
+class GroupView:
+    """The live members of the group, as one instance sees them.
+
+    Attributes:
+        version: Number that rises whenever this instance's view changes.
+        members: All live members in any state, this instance included, by id.
+        unheard: Listed members that are not live and did not announce a stop.
+    """
+
+    version: int
+    members: dict[str, Member] = field(default_factory=dict)
+    unheard: frozenset[str] = frozenset()
+
+    @property
+    def complete(self) -> bool:
+        """Whether every listed member is live or announced its stop."""
+        return not self.unheard
+
+    @property
+    def heard_share(self) -> float:
+        """The share of listed members that are live, from 0 to 1."""
+        return len(self.members) / max(1, len(self.members) + len(self.unheard))
