--- /dev/null
+++ b/src/magnoliaslip/config/platform.py
@@ -0,0 +1,51 @@
+"""The read-only configuration service of the platform."""
+
+from abc import ABC, abstractmethod
+from dataclasses import dataclass
+
+
+@dataclass(slots=True, frozen=True)
+class PlatformValue:
+    """A value as the platform answered it.
+
+    Attributes:
+        key: Name of the value, for example ``index`` or ``pools/0``.
+        data: JSON document.
+        index: The platform's modification counter of the key.
+    """
+
+    key: str
+    data: bytes
+    index: int
+
+
+class Platform(ABC):
+    """Reads and watches values; there is no way to write."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def read(self, key: str) -> PlatformValue | None:
+        """Return a value, or None when the key does not exist.
+
+        Raises:
+            PlatformError: The platform did not answer within 2 s.
+        """
+
+    @abstractmethod
+    async def watch(
+        self, key: str, *, after: int, deadline: float
+    ) -> PlatformValue | None:
+        """Wait until a value is newer than ``after``.
+
+        Args:
+            key: Name of the value.
+            after: Modification counter that the caller has.
+            deadline: Monotonic time in seconds at which to give up waiting.
+
+        Returns:
+            The newer value, or None when the deadline passed without one.
+
+        Raises:
+            PlatformError: No answer came within 2 s after the deadline.
+        """
--- a/src/magnoliaslip/config/snapshot.py
+++ b/src/magnoliaslip/config/snapshot.py
@@ -66,3 +66,17 @@
     pools: dict[str, Pool] = field(default_factory=dict)
     zones_out: frozenset[str] = frozenset()
     values: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class HistoryEntry:
+    """A snapshot that is or was in force.
+
+    Attributes:
+        snapshot: The tables.
+        since: Monotonic time in seconds at which it came into force here; for an
+            entry learned from a peer, when it came into force at that peer.
+    """
+
+    snapshot: Snapshot
+    since: float
--- /dev/null
+++ b/src/magnoliaslip/core/events.py
@@ -0,0 +1,71 @@
+"""Numbered log events.
+
+Every log line of the system is one event: a fixed number and name, followed by
+``key=value`` fields. ``docs/events.md`` lists them all; a test holds the page
+against this module.
+"""
+
+from enum import Enum
+from logging import ERROR, INFO, WARNING, Logger
+from typing import Any
+
+
+class Event(Enum):
+    """All log events: number, level and meaning.
+
+    Numbers: 1xx process, 2xx configuration, 3xx placement, 4xx data path,
+    5xx peers, 6xx platform, 7xx backend servers, 8xx lab.
+    """
+
+    INSTANCE_STARTED = (100, INFO, "the instance has opened its sockets")
+    INSTANCE_STATE = (101, INFO, "the instance changed its state")
+    INSTANCE_STOPPED = (102, INFO, "the instance has stopped")
+    CLOCK_JUMPED = (103, WARNING, "the process was paused; its view is suspect")
+    VIEW_CONFIRMED = (104, INFO, "the view was refreshed after it was suspect")
+    CONFIG_IN_FORCE = (200, INFO, "a snapshot came into force")
+    CONFIG_REJECTED = (201, ERROR, "a published set was rejected as a whole")
+    CONFIG_STALE = (202, WARNING, "an older or conflicting version was ignored")
+    FLOW_PLACED = (300, INFO, "a new flow was placed on a backend server")
+    FLOW_REPLACED = (301, INFO, "a refused open was placed on another server")
+    FLOW_REFUSED = (302, WARNING, "an open was refused; no server admits it")
+    FLOW_GIVEN_UP = (303, WARNING, "a flow ended with its availability zone")
+    PACKET_DROPPED = (400, WARNING, "packets were dropped, counted by kind")
+    MEMBER_LIVE = (500, INFO, "a member became live")
+    MEMBER_LOST = (501, WARNING, "a member is no longer heard")
+    PEER_LINK_REPLACED = (502, WARNING, "a silent or broken stream was replaced")
+    PEER_REJECTED = (503, WARNING, "a message from a non-member was dropped")
+    PLATFORM_DOWN = (600, WARNING, "the platform does not answer")
+    PLATFORM_UP = (601, INFO, "the platform answers again")
+    SERVER_COLD = (700, INFO, "a backend server is in slow start")
+    SERVER_REFUSING = (701, WARNING, "a backend server refused or ignored an open")
+    SERVER_ACCEPTING = (702, INFO, "a backend server accepts opens again")
+    FLOW_SILENT = (703, WARNING, "an established flow gets no answers")
+    LAB_MESSAGE = (800, INFO, "a message of the lab's stand-ins")
+
+    @property
+    def number(self) -> int:
+        """The number that stands in the log line."""
+        return self.value[0]
+
+    @property
+    def level(self) -> int:
+        """The level of the standard ``logging`` module."""
+        return self.value[1]
+
+    @property
+    def meaning(self) -> str:
+        """What the event tells an operator."""
+        return self.value[2]
+
+
+def log_event(logger: Logger, event: Event, **fields: Any) -> None:
+    """Write one event.
+
+    Args:
+        logger: Logger of the calling module.
+        event: The event.
+        fields: Values in the order in which they appear in the line.
+    """
+    if logger.isEnabledFor(event.level):
+        text = " ".join(f"{key}={value}" for key, value in fields.items())
+        logger.log(event.level, "MS%03d %s %s", event.number, event.name, text)
