Build the router with exceptions, certificates and replication

Change: epochs and base defaults, slices, load and evidence, packed flow records, certificates with leases, numbered logs to peers, opening decisions, handover, and the policies exceptions, owner, replicated and stateless. Heartbeat gets the field base_version: a member forwards directly only where it knows the base that every other member uses, and owners count a placement as an exception as long as any member's base differs.

--- /dev/null
+++ b/src/magnoliaslip/placement/epochs.py
@@ -0,0 +1,269 @@
+"""The epochs of one service, its current defaults and its base defaults."""
+
+from array import array
+from collections.abc import Iterable
+
+from magnoliaslip.config.snapshot import BackendServer
+from magnoliaslip.placement.bucket_table import (
+    NO_SERVER,
+    UNKNOWN,
+    BucketTable,
+    blank_numbers,
+)
+from magnoliaslip.placement.servers import ServerRegistry
+
+# A pool that changes more often within the window loses its oldest epochs early;
+# the owner turns their recorded flows into exceptions as at the end of the window.
+MAX_EPOCHS = 64
+NOT_DIRECT = 0xFFFD
+
+
+class Epoch:
+    """One pool version together with the set of availability zones that are out.
+
+    Attributes:
+        version: Configuration version with which the epoch began.
+        since: Monotonic time in seconds at which it came into force here.
+        out: Availability zones of the service that are out.
+        table: Defaults of the epoch.
+    """
+
+    __slots__ = ("out", "since", "table", "version")
+
+    def __init__(
+        self, version: int, since: float, out: frozenset[str], table: BucketTable
+    ) -> None:
+        self.version = version
+        self.since = since
+        self.out = out
+        self.table = table
+
+
+class EpochHistory:
+    """Epochs of one service, oldest first.
+
+    Owners use the epoch that was in force one window ago as the base. Direct
+    forwarding uses a new base later, when owners have turned the recorded flows of
+    the old base into exceptions.
+
+    Args:
+        servers: Registry of the service's backend servers.
+        window: Length of the history in seconds.
+        grace: Seconds between an owner's and a direct forwarder's new base.
+    """
+
+    __slots__ = (
+        "_base",
+        "_direct",
+        "_references",
+        "_servers",
+        "direct_base",
+        "epochs",
+        "grace",
+        "owner_base",
+        "window",
+    )
+
+    def __init__(
+        self, servers: ServerRegistry, *, window: float = 3600.0, grace: float = 60.0
+    ) -> None:
+        self._servers = servers
+        self.window = window
+        self.grace = grace
+        self.epochs: list[Epoch] = []
+        self.owner_base = 0
+        self.direct_base = 0
+        self._base: array | None = None
+        self._direct: array | None = None
+        self._references: tuple[tuple[int, int], ...] | None = ()
+
+    def append(
+        self,
+        version: int,
+        since: float,
+        servers: Iterable[BackendServer],
+        zones_out: frozenset[str],
+    ) -> bool:
+        """Add the pool of a newer configuration version.
+
+        Returns:
+            Whether defaults may have changed.
+        """
+        pool = list(servers)
+        seeds = {}
+        for server in pool:
+            number = self._servers.register(server)
+            if not server.drain and server.zone not in zones_out:
+                seeds[number] = self._servers.seed(number)
+        zones = {self._servers[number].zone for number in range(len(self._servers))}
+        out = zones_out & zones
+        last = self.epochs[-1] if self.epochs else None
+        if last and last.table.candidates == seeds and last.out == out:
+            return False
+        table = BucketTable(seeds, parent=last.table if last else None)
+        self.epochs.append(Epoch(version, since, out, table))
+        if len(self.epochs) > 2:
+            # Winners of epochs in the middle are needed only when a zone is out.
+            self.epochs[-2].table.detach()
+            if len(self.epochs) - 3 not in (self.direct_base, self.owner_base):
+                self.epochs[-3].table.release()
+        self._invalidate()
+        return True
+
+    @property
+    def current(self) -> Epoch:
+        """The newest epoch."""
+        return self.epochs[-1]
+
+    def default(self, bucket: int) -> int:
+        """Return the number of the current default, or `NO_SERVER`."""
+        return self.epochs[-1].table.winner(bucket)
+
+    def base(self, bucket: int) -> int:
+        """Return the default of the owner's base, or `NO_SERVER`."""
+        last = len(self.epochs) - 1
+        if self.owner_base == last:
+            return self.epochs[last].table.winner(bucket)
+        if self._base is None:
+            self._base = blank_numbers()
+        number = self._base[bucket]
+        if number == UNKNOWN:
+            number = self._base[bucket] = self.base_between(
+                bucket, self.owner_base, last
+            )
+        return number
+
+    def direct(self, bucket: int) -> int:
+        """Return the default if base and current agree, else `NOT_DIRECT`.
+
+        Also `NOT_DIRECT` while a member uses a base that is not known here.
+        """
+        if self._references is None:
+            return NOT_DIRECT
+        last = len(self.epochs) - 1
+        if self.direct_base == last:
+            number = self.epochs[last].table.winner(bucket)
+            return NOT_DIRECT if number == NO_SERVER else number
+        if self._direct is None:
+            self._direct = blank_numbers()
+        number = self._direct[bucket]
+        if number == UNKNOWN:
+            number = self.default(bucket)
+            if (
+                number == NO_SERVER
+                or number != self.base(bucket)
+                or number != self.base_between(bucket, self.direct_base, last)
+            ):
+                number = NOT_DIRECT
+            self._direct[bucket] = number
+        return number
+
+    def base_between(self, bucket: int, first: int, last: int) -> int:
+        """Return the base default of the epochs ``first`` to ``last``.
+
+        The default of the first epoch holds until its availability zone is out; the
+        flows of that zone are given up, so the default of that epoch follows.
+        """
+        number = self.epochs[first].table.winner(bucket)
+        for epoch in self.epochs[first + 1 : last + 1]:
+            if number == NO_SERVER or self._servers[number].zone in epoch.out:
+                number = epoch.table.winner(bucket)
+        return number
+
+    def is_default(self, bucket: int, number: int) -> bool:
+        """Return whether every member sends an unknown flow to this server.
+
+        True when the server is the base default of this instance, as owner and as
+        direct forwarder, and under the lowest versions that any member reported.
+        """
+        if self._references is None or not self.epochs:
+            return False
+        if self.base(bucket) != number:
+            return False
+        return all(
+            self.base_between(bucket, first, last) == number
+            for first, last in self._references
+        )
+
+    def set_references(self, versions: Iterable[tuple[int, int]]) -> bool:
+        """Take over the versions that the members of the view reported.
+
+        Args:
+            versions: For each member the configuration version in force and the
+                version that is the base of its direct forwarding.
+
+        Returns:
+            Whether the versions differ from the former ones in effect.
+        """
+        last = len(self.epochs) - 1
+        pairs: set[tuple[int, int]] | None = {(self.direct_base, last)}
+        for config_version, base_version in versions:
+            newest = self.index_at(config_version)
+            oldest = self.index_at(base_version)
+            if newest is None or oldest is None:
+                pairs = None  # this member still uses epochs that are unknown here
+                break
+            pairs.add((min(oldest, newest), newest))
+        references = None
+        if pairs is not None:
+            pairs.discard((self.owner_base, last))
+            references = tuple(sorted(pairs))
+        changed = references != self._references
+        self._references = references
+        return changed
+
+    def index_at(self, version: int) -> int | None:
+        """Return the index of the epoch of a version; None if it is unknown."""
+        for index in range(len(self.epochs) - 1, -1, -1):
+            if self.epochs[index].version <= version:
+                return index
+        return None
+
+    def known_from(self, version: int, since: float) -> None:
+        """State that the service did not exist before its first epoch."""
+        self.epochs.append(Epoch(version, since, frozenset(), BucketTable({})))
+
+    def due_base(self, now: float) -> int:
+        """Return the index of the epoch that was in force one window ago."""
+        index = self._in_force(now - self.window)
+        return max(index, self.owner_base, len(self.epochs) - MAX_EPOCHS)
+
+    def advance_owner(self, index: int) -> None:
+        """Use a new base for unknown flows that arrive at the owner."""
+        if index != self.owner_base:
+            self.owner_base = index
+            self._invalidate()
+
+    def advance_direct(self, now: float) -> bool:
+        """Use a new base for direct forwarding once its grace period is over.
+
+        Returns:
+            Whether the base changed.
+        """
+        index = min(self.owner_base, self._in_force(now - self.window - self.grace))
+        index = max(index, self.direct_base, self.owner_base - MAX_EPOCHS)
+        if index == self.direct_base:
+            return False
+        self.direct_base = index
+        self._drop_oldest()
+        self._invalidate()
+        return True
+
+    def _in_force(self, moment: float) -> int:
+        index = 0
+        for position, epoch in enumerate(self.epochs):
+            if epoch.since <= moment:
+                index = position
+        return index
+
+    def _drop_oldest(self) -> None:
+        drop = self.direct_base
+        del self.epochs[:drop]
+        self.owner_base -= drop
+        self.direct_base = 0
+        self.epochs[0].table.detach()
+
+    def _invalidate(self) -> None:
+        self._base = None
+        self._direct = None
+        self._references = ((self.direct_base, len(self.epochs) - 1),)
--- /dev/null
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -0,0 +1,294 @@
+"""Exceptions held by this instance, as owner or replica, and its dirty buckets."""
+
+from collections.abc import Iterable
+from enum import Enum
+from typing import NamedTuple
+
+from magnoliaslip.placement.hashing import flow_hash
+from magnoliaslip.placement.opens import Barrier
+from magnoliaslip.placement.records import (
+    ROW_MASK,
+    TICKS_PER_SECOND,
+    FlowFlag,
+    FlowRecord,
+)
+from magnoliaslip.placement.replication import LogOp, PeerLog
+from magnoliaslip.placement.service import CODE_SHIFT, Service, code_bucket
+from magnoliaslip.placement.state import PlacementState
+
+# A bucket stays dirty this long after its last exception, so that a busy bucket
+# does not cause an operation for every flow.
+CLEAN_SECONDS = 10.0
+# Exceptions for servers that are not in the configuration here yet.
+MAX_UNRESOLVED = 4_096
+
+
+class Applied(Enum):
+    """What an exception from another instance changed."""
+
+    NOTHING = 0
+    ADDED = 1
+    CHANGED = 2  # a record that forwarding may have used
+
+
+class _Unresolved(NamedTuple):
+    service: str
+    server: str
+
+
+class ExceptionKeeper:
+    """Adds and removes exceptions and announces dirty buckets to all members.
+
+    Replicas announce the buckets of the exceptions that they hold as well. A bucket
+    therefore stays dirty for direct forwarders when its owner dies.
+
+    Args:
+        state: State of the router.
+    """
+
+    __slots__ = (
+        "_announced",
+        "_cleaning",
+        "_counts",
+        "_pending",
+        "_state",
+        "_unresolved",
+    )
+
+    def __init__(self, state: PlacementState) -> None:
+        self._state = state
+        self._counts: dict[int, int] = {}
+        self._announced: set[int] = set()
+        self._cleaning: dict[int, float] = {}
+        self._pending: dict[int, list[tuple[PeerLog | None, LogOp | None, float]]] = {}
+        self._unresolved: dict[bytes, _Unresolved] = {}
+
+    @property
+    def codes(self) -> Iterable[int]:
+        """Codes of the buckets with exceptions held here."""
+        return self._counts
+
+    @property
+    def count(self) -> int:
+        """Exceptions held here."""
+        return sum(self._counts.values())
+
+    def holds(self, code: int) -> bool:
+        """Return whether an exception of the bucket is held here."""
+        return code in self._counts
+
+    def is_dirty(self, code: int) -> bool:
+        """Return whether this instance says that the bucket holds an exception."""
+        return code in self._announced
+
+    def in_bucket(self, code: int) -> list[tuple[bytes, int, FlowRecord]]:
+        """Return key, hash and record of the exceptions of a bucket."""
+        index, bucket = code >> CODE_SHIFT, code_bucket(code)
+        found = []
+        for key, record in self._state.records.row(bucket & ROW_MASK):
+            if record.flags & FlowFlag.EXCEPTION and record.service == index:
+                key_hash = flow_hash(key)
+                if code_bucket(key_hash) == bucket:
+                    found.append((key, key_hash, record))
+        return found
+
+    def add(
+        self, key: bytes, key_hash: int, service: Service, now: float
+    ) -> Barrier | None:
+        """Make a recorded flow an exception and send it to the replicas.
+
+        Returns:
+            What an opening packet of the flow has to wait for; None for nothing.
+        """
+        state = self._state
+        record = state.records.get(key, key_hash)
+        if record is None:
+            return None
+        bucket = code_bucket(key_hash)
+        code = service.code(bucket)
+        if not record.flags & FlowFlag.EXCEPTION:
+            flags = record.flags | FlowFlag.EXCEPTION
+            state.records.put(key, key_hash, record._replace(flags=flags))
+            self._mark(code, now)
+        dirty = self._waits(code, now)
+        server = service.servers[record.server].name
+        replicas = []
+        for peer in self.replicas(service, bucket):
+            log = state.logs.get(peer)
+            if log is not None:
+                replicas.append((log, log.add_exception(service.name, key, server)))
+        for log in {log for log, *_ in (*dirty, *replicas) if log is not None}:
+            log.flush(now, urgent=True)
+        return Barrier(list(dirty), replicas, now) if dirty or replicas else None
+
+    def remove(self, key: bytes, key_hash: int, service: Service, now: float) -> None:
+        """Remove an exception here and at the replicas; the record stays."""
+        state = self._state
+        record = state.records.get(key, key_hash)
+        if record is None or not record.flags & FlowFlag.EXCEPTION:
+            return
+        flags = record.flags & ~FlowFlag.EXCEPTION
+        state.records.put(key, key_hash, record._replace(flags=flags))
+        bucket = code_bucket(key_hash)
+        self._unmark(service.code(bucket), now)
+        if state.owns(service, bucket):
+            # Joining members may have got the exception with their first copy.
+            joining = [m.id for m in state.view.members.values() if not m.state]
+            for peer in {*self.replicas(service, bucket), *joining}:
+                log = state.logs.get(peer)
+                if log is not None:
+                    log.add_exception(service.name, key, "")
+
+    def forget_record(
+        self, key: bytes, key_hash: int, service: Service, now: float
+    ) -> None:
+        """Remove the record of a flow, and its exception everywhere."""
+        self.remove(key, key_hash, service, now)
+        self._state.records.remove(key, key_hash)
+
+    def replicas(self, service: Service, bucket: int) -> Iterable[str]:
+        """Return the members that hold copies besides this instance."""
+        state = self._state
+        if state.policy == "replicated":
+            return state.peers_in_view()
+        holders = service.slices.holders(bucket)
+        if holders is None:
+            return ()
+        return [
+            each
+            for each in (*holders.replicas, holders.owner)
+            if each != state.instance_id
+        ]
+
+    def apply(self, service_name: str, key: bytes, server: str, now: float) -> Applied:
+        """Apply an exception that another instance sent."""
+        state = self._state
+        service = state.service(service_name)
+        key_hash = flow_hash(key)
+        bucket = code_bucket(key_hash)
+        record = state.records.get(key, key_hash)
+        owner = state.owns(service, bucket)
+        had = record is not None and bool(record.flags & FlowFlag.EXCEPTION)
+        if not server:
+            self._unresolved.pop(key, None)
+            if not had or owner:
+                return Applied.NOTHING
+            self.forget_record(key, key_hash, service, now)
+            return Applied.CHANGED
+        number = service.servers.find(server)
+        if number is None:
+            if len(self._unresolved) < MAX_UNRESOLVED:
+                if key not in self._unresolved:
+                    self._mark(service.code(bucket), now)
+                self._unresolved[key] = _Unresolved(service_name, server)
+            return Applied.NOTHING
+        if record is not None and owner and self._is_firm(key, record):
+            return Applied.NOTHING
+        plain = owner and not had and service.epochs.is_default(bucket, number)
+        flags = FlowFlag.ESTABLISHED | (0 if plain else FlowFlag.EXCEPTION)
+        opened = record.opened if record else int(now * TICKS_PER_SECOND)
+        state.records.put(
+            key, key_hash, FlowRecord(service.index, number, flags, opened)
+        )
+        if not plain and not had:
+            self._mark(service.code(bucket), now)
+        if record is not None and record.server != number:
+            return Applied.CHANGED
+        return Applied.NOTHING if had or plain else Applied.ADDED
+
+    def resolve(self, now: float) -> None:
+        """Apply exceptions whose servers became known with a new configuration."""
+        for key, (service_name, server) in list(self._unresolved.items()):
+            service = self._state.service(service_name)
+            if service.servers.find(server) is not None:
+                del self._unresolved[key]
+                self.apply(service_name, key, server, now)
+                self._unmark(service.code(code_bucket(flow_hash(key))), now)
+
+    def drop_bucket(self, code: int, now: float) -> None:
+        """Drop the exceptions of a bucket that belongs to other members."""
+        for key, key_hash, _ in self.in_bucket(code):
+            self._state.records.remove(key, key_hash)
+            self._unmark(code, now)
+
+    def announce_all(self, log: PeerLog) -> None:
+        """Put every dirty bucket into a log that starts anew."""
+        for code in self._announced:
+            service = self._state.services[code >> CODE_SHIFT]
+            log.add_bucket(service.name, code_bucket(code), True)
+
+    def tick(self, now: float) -> None:
+        """Announce buckets as clean some time after their last exception."""
+        while self._cleaning:
+            code, moment = next(iter(self._cleaning.items()))
+            if now < moment:
+                break
+            del self._cleaning[code]
+            self._announced.discard(code)
+            self._announce(code, False)
+        for code in [c for c, waits in self._pending.items() if _is_over(waits, now)]:
+            del self._pending[code]
+
+    def _is_firm(self, key: bytes, record: FlowRecord) -> bool:
+        """Return whether an owner's own record outweighs one that it is sent."""
+        if self._state.opens.get(key) is not None:
+            return True
+        return bool(record.flags & FlowFlag.ESTABLISHED) and not (
+            record.flags & FlowFlag.GUESSED
+        )
+
+    def _mark(self, code: int, now: float) -> None:
+        self._counts[code] = self._counts.get(code, 0) + 1
+        self._cleaning.pop(code, None)
+        if code in self._announced:
+            return
+        self._announced.add(code)
+        self._state.epoch += 1
+        granted = self._state.certificates.granted
+        ops = self._announce(code, True)
+        waits = [
+            (*ops.get(peer, (None, None)), lease_end)
+            for peer, lease_end in granted.items()
+            if lease_end > now
+        ]
+        if waits and self._state.policy == "exceptions":
+            self._pending[code] = waits
+
+    def _unmark(self, code: int, now: float) -> None:
+        count = self._counts.get(code, 0) - 1
+        if count > 0:
+            self._counts[code] = count
+            return
+        self._counts.pop(code, None)
+        self._cleaning.pop(code, None)
+        self._cleaning[code] = now + CLEAN_SECONDS
+
+    def _announce(self, code: int, dirty: bool) -> dict[str, tuple[PeerLog, LogOp]]:
+        if self._state.policy != "exceptions":
+            return {}
+        name = self._state.services[code >> CODE_SHIFT].name
+        bucket = code_bucket(code)
+        return {
+            peer: (log, log.add_bucket(name, bucket, dirty))
+            for peer, log in self._state.logs.items()
+        }
+
+    def _waits(
+        self, code: int, now: float
+    ) -> list[tuple[PeerLog | None, LogOp | None, float]]:
+        waits = self._pending.get(code)
+        if waits is None:
+            return []
+        if _is_over(waits, now):
+            del self._pending[code]
+            return []
+        return waits
+
+
+def _is_over(
+    waits: list[tuple[PeerLog | None, LogOp | None, float]], now: float
+) -> bool:
+    return all(
+        now >= lease_end or (log is not None and op is not None and log.is_acked(op))
+        for log, op, lease_end in waits
+    )
--- a/src/magnoliaslip/placement/explanation.py
+++ b/src/magnoliaslip/placement/explanation.py
@@ -2,6 +2,14 @@
 
 from dataclasses import dataclass
 
+from magnoliaslip.packet.flow_key import FlowKey
+from magnoliaslip.placement.bucket_table import BUCKET_MASK, NO_SERVER
+from magnoliaslip.placement.exceptions import ExceptionKeeper
+from magnoliaslip.placement.hashing import flow_hash
+from magnoliaslip.placement.records import FlowFlag, FlowRecord
+from magnoliaslip.placement.service import Service
+from magnoliaslip.placement.state import PlacementState
+
 
 @dataclass(slots=True, frozen=True)
 class Explanation:
@@ -27,3 +35,62 @@
     config_version: int = 0
     bucket: int = 0
     steps: tuple[str, ...] = ()
+
+
+def explain(
+    state: PlacementState, keeper: ExceptionKeeper, key: FlowKey
+) -> Explanation:
+    """Explain the placement of a flow from what this instance holds.
+
+    Args:
+        state: State of the router.
+        keeper: The exceptions held here.
+        key: Flow key in request direction.
+    """
+    version = state.snapshot.version
+    service = state.routes.get(key[4:8] + key[10:12])
+    if service is None:
+        return Explanation(
+            config_version=version, steps=("no route names the address",)
+        )
+    key_hash = flow_hash(key)
+    bucket = key_hash & BUCKET_MASK
+    owner = service.slices.owner(bucket) or ""
+    code = service.code(bucket)
+    steps = [
+        f"bucket {bucket} is in slice {bucket % service.slices.count}"
+        f" of {service.slices.count}, owned by {owner or 'nobody'}",
+        f"current default {_name(service, service.epochs.default(bucket))},"
+        f" base default {_name(service, service.epochs.base(bucket))}",
+    ]
+    if keeper.is_dirty(code) or state.certificates.is_dirty(code):
+        steps.append("the bucket holds exceptions")
+    record = state.records.get(key, key_hash)
+    if record is not None:
+        number, reason = record.server, _record_reason(record)
+        service = state.services[record.service]
+        steps.append(f"a record names {_name(service, number)} ({reason})")
+    else:
+        number, reason = service.epochs.default(bucket), "default"
+        steps.append("no record here; a new flow prefers the current default")
+    server = None if number == NO_SERVER else service.servers[number]
+    if server is not None and server.zone in state.snapshot.zones_out:
+        steps.append(f"availability zone {server.zone} is out; the flow is given up")
+    return Explanation(
+        service=service.name,
+        server=server.name if server else "",
+        zone=server.zone if server else "",
+        reason=reason if server else "",
+        owner=owner,
+        config_version=version,
+        bucket=bucket,
+        steps=tuple(steps),
+    )
+
+
+def _name(service: Service, number: int) -> str:
+    return "none" if number == NO_SERVER else service.servers[number].name
+
+
+def _record_reason(record: FlowRecord) -> str:
+    return "exception" if record.flags & FlowFlag.EXCEPTION else "record"
--- /dev/null
+++ b/src/magnoliaslip/placement/opens.py
@@ -0,0 +1,146 @@
+"""Flows whose opening packet has not been answered yet."""
+
+from magnoliaslip.placement.flow_packet import FlowPacket
+from magnoliaslip.placement.replication import LogOp, PeerLog
+
+MAX_OPENS = 4_096
+REPLICA_SECONDS = 0.25
+# Callers give up later, but the record alone is enough for what follows.
+KEEP_SECONDS = 10.0
+SILENT_AFTER_PACKETS = 3  # the first one and two retransmissions
+# An answer to an earlier copy of the opening packet may still be on its way.
+CROSSING_SECONDS = 0.25
+
+
+class Barrier:
+    """What must be acknowledged before an opening packet is sent on.
+
+    Args:
+        dirty: Logs of the members that may hold a certificate of the bucket, with
+            the bucket operation and the monotonic time at which the lease ends.
+        replicas: Logs of the replicas with the exception operation.
+        now: Monotonic time in seconds.
+    """
+
+    __slots__ = ("_dirty", "_replica_deadline", "_replicas")
+
+    def __init__(
+        self,
+        dirty: list[tuple[PeerLog | None, LogOp | None, float]],
+        replicas: list[tuple[PeerLog, LogOp]],
+        now: float,
+    ) -> None:
+        self._dirty = dirty
+        self._replicas = replicas
+        self._replica_deadline = now + REPLICA_SECONDS
+
+    def is_open(self, now: float) -> bool:
+        """Return whether the packet may be sent on."""
+        self._dirty = [
+            (log, op, lease_end)
+            for log, op, lease_end in self._dirty
+            if now < lease_end
+            and not (log is not None and op is not None and log.is_acked(op))
+        ]
+        if self._dirty:
+            return False
+        return (
+            not self._replicas
+            or now >= self._replica_deadline
+            or any(log.is_acked(op) for log, op in self._replicas)
+        )
+
+
+class PendingOpen:
+    """An open between its first packet and its SYN-ACK.
+
+    Attributes:
+        packet: The latest opening packet.
+        service: Index of the service.
+        server: Number of the server that it was placed on.
+        tried: Numbers of all servers that it was placed on.
+        sent: Opening packets sent to the server.
+        last_sent: Monotonic time of the last one; 0 before the first.
+        since: Monotonic time at which the open was placed first.
+        reason: Reason of the placement, for the history.
+        barrier: What the packet waits for; None when it was sent on.
+        refusals: Refusals by the current server.
+    """
+
+    __slots__ = (
+        "barrier",
+        "last_sent",
+        "packet",
+        "reason",
+        "refusals",
+        "sent",
+        "server",
+        "service",
+        "since",
+        "tried",
+    )
+
+    def __init__(
+        self, packet: FlowPacket, service: int, server: int, reason: str, now: float
+    ) -> None:
+        self.packet = packet
+        self.service = service
+        self.tried: set[int] = set()
+        self.since = now
+        self.barrier: Barrier | None = None
+        self.place(server, reason)
+
+    def place(self, server: int, reason: str) -> None:
+        """Start over with a server."""
+        self.server = server
+        self.reason = reason
+        self.tried.add(server)
+        self.sent = 0
+        self.refusals = 0
+        self.last_sent = 0.0
+
+    def note_sent(self, now: float) -> None:
+        """Note that the opening packet was sent to the server."""
+        self.sent += 1
+        self.last_sent = now
+
+    def may_move(self, now: float) -> bool:
+        """Return whether no other answer of the refusing server can be under way."""
+        return self.refusals >= self.sent or now - self.last_sent > CROSSING_SECONDS
+
+
+class OpenTable:
+    """The pending opens of an owner, bounded in number."""
+
+    __slots__ = ("_opens", "held")
+
+    def __init__(self) -> None:
+        self._opens: dict[bytes, PendingOpen] = {}
+        self.held: dict[bytes, PendingOpen] = {}
+
+    def __len__(self) -> int:
+        return len(self._opens)
+
+    def get(self, key: bytes) -> PendingOpen | None:
+        """Return the pending open of a flow."""
+        return self._opens.get(key)
+
+    def add(self, key: bytes, pending: PendingOpen) -> None:
+        """Add an open; at the bound the oldest one loses its chance of a retry."""
+        self.remove(key)
+        if len(self._opens) >= MAX_OPENS:
+            self.remove(next(iter(self._opens)))
+        self._opens[key] = pending
+
+    def remove(self, key: bytes) -> None:
+        """Drop an open that was answered or ended."""
+        self._opens.pop(key, None)
+        self.held.pop(key, None)
+
+    def expire(self, now: float) -> None:
+        """Drop opens that got no answer for long."""
+        while self._opens:
+            key, pending = next(iter(self._opens.items()))
+            if now - pending.since < KEEP_SECONDS:
+                return
+            self.remove(key)
--- /dev/null
+++ b/src/magnoliaslip/placement/replication.py
@@ -0,0 +1,269 @@
+"""Numbered logs between instances: dirty buckets and exceptions."""
+
+from collections import deque
+from collections.abc import Callable, Sequence
+from itertools import islice
+
+from magnoliaslip.peering.proto.peer_pb2 import (
+    BucketOp,
+    ExceptionOp,
+    LogAck,
+    LogEntries,
+    PeerMessage,
+)
+
+# At most about 6 KB a message, so that one loss costs little.
+MAX_BATCH = 200
+MAX_IN_FLIGHT = 4
+RESEND_SECONDS = 0.3
+MAX_RESEND_SECONDS = 2.0
+# Operations for a peer that does not acknowledge; beyond it the log starts anew.
+MAX_BACKLOG = 20_000
+# While messages follow each other closely they wait for the next acknowledgement
+# or tick, which fills the batches.
+MIN_GAP_SECONDS = 0.02
+
+
+class LogOp:
+    """One operation in the log for one peer.
+
+    Attributes:
+        service: Name of the service.
+        bucket: Bucket of a bucket operation, else -1.
+        dirty: Whether the bucket holds exceptions now.
+        key: Flow key of an exception operation.
+        server: Server of the exception; empty when it is removed.
+        sequence: Number in the log; 0 until it is sent.
+    """
+
+    __slots__ = ("bucket", "dirty", "key", "sequence", "server", "service")
+
+    def __init__(
+        self,
+        service: str,
+        *,
+        bucket: int = -1,
+        dirty: bool = False,
+        key: bytes = b"",
+        server: str = "",
+    ) -> None:
+        self.service = service
+        self.bucket = bucket
+        self.dirty = dirty
+        self.key = key
+        self.server = server
+        self.sequence = 0
+
+
+def encode_ops(
+    ops: Sequence[LogOp], *, first_sequence: int = 0, reset: bool = False
+) -> LogEntries:
+    """Build a message body; bucket operations must stand first."""
+    entries = LogEntries(first_sequence=first_sequence, reset=reset)
+    indexes: dict[str, int] = {}
+    for op in ops:
+        index = indexes.setdefault(op.service, len(indexes))
+        if op.bucket >= 0:
+            entries.buckets.append(
+                BucketOp(service_index=index, bucket=op.bucket, dirty=op.dirty)
+            )
+        else:
+            entries.exceptions.append(
+                ExceptionOp(service_index=index, key=op.key, server=op.server)
+            )
+    entries.services.extend(indexes)
+    return entries
+
+
+class PeerLog:
+    """The log of this instance for one peer; sent in order until acknowledged.
+
+    Args:
+        peer: The addressee.
+        incarnation: Incarnation of the addressee.
+        send: Sends a message to a peer.
+    """
+
+    __slots__ = (
+        "_buckets",
+        "_exceptions",
+        "_in_flight",
+        "_last_sent",
+        "_next",
+        "_overflowed",
+        "_resend_at",
+        "_resend_seconds",
+        "_reset",
+        "_send",
+        "acked",
+        "incarnation",
+        "peer",
+    )
+
+    def __init__(
+        self, peer: str, incarnation: int, send: Callable[[str, PeerMessage], None]
+    ) -> None:
+        self.peer = peer
+        self.incarnation = incarnation
+        self.acked = -1
+        self._send = send
+        self._next = 1
+        self._buckets: deque[LogOp] = deque()
+        self._exceptions: deque[LogOp] = deque()
+        self._in_flight: deque[tuple[int, LogEntries]] = deque()
+        self._reset = True
+        self._overflowed = False
+        self._last_sent = 0.0
+        self._resend_at = 0.0
+        self._resend_seconds = RESEND_SECONDS
+
+    @property
+    def last_sequence(self) -> int:
+        """The number of the last operation, those still to be sent included."""
+        return self._next - 1 + len(self._buckets) + len(self._exceptions)
+
+    @property
+    def backlog(self) -> int:
+        """Operations that are not acknowledged."""
+        return self.last_sequence - max(0, self.acked)
+
+    @property
+    def overflowed(self) -> bool:
+        """Whether operations were dropped, so that `restart` is due."""
+        return self._overflowed
+
+    def add_bucket(self, service: str, bucket: int, dirty: bool) -> LogOp:
+        """Append a bucket operation."""
+        op = LogOp(service, bucket=bucket, dirty=dirty)
+        self._append(self._buckets, op)
+        return op
+
+    def add_exception(self, service: str, key: bytes, server: str) -> LogOp:
+        """Append an exception; an empty server removes it."""
+        op = LogOp(service, key=key, server=server)
+        self._append(self._exceptions, op)
+        return op
+
+    def is_acked(self, op: LogOp) -> bool:
+        """Return whether the peer has applied an operation."""
+        return 0 < op.sequence <= self.acked
+
+    def restart(self, incarnation: int) -> None:
+        """Start anew: the next message makes the peer forget what it holds.
+
+        Numbers go on rising, so that a repeated older message is recognized.
+        """
+        self._next = max(self._next, self.last_sequence + 1)
+        self._buckets.clear()
+        self._exceptions.clear()
+        self._in_flight.clear()
+        self.incarnation = incarnation
+        self.acked = -1
+        self._reset = True
+        self._overflowed = False
+        self._resend_seconds = RESEND_SECONDS
+
+    def flush(self, now: float, *, urgent: bool = False) -> None:
+        """Send waiting operations, as far as the bound in flight allows.
+
+        Args:
+            now: Monotonic time in seconds.
+            urgent: An opening packet waits for the acknowledgement.
+        """
+        if self._in_flight and urgent and now - self._last_sent < MIN_GAP_SECONDS:
+            return
+        while len(self._in_flight) < MAX_IN_FLIGHT:
+            if not (self._buckets or self._exceptions or self._reset):
+                return
+            self._send_batch(now)
+
+    def on_ack(self, applied: int, now: float) -> bool:
+        """Note an acknowledgement; returns whether it covers anything new."""
+        if applied <= self.acked or applied >= self._next:
+            return False
+        self.acked = applied
+        self._resend_seconds = RESEND_SECONDS
+        while self._in_flight and self._in_flight[0][0] <= applied:
+            self._in_flight.popleft()
+        self._resend_at = now + RESEND_SECONDS
+        self.flush(now)
+        return True
+
+    def tick(self, now: float) -> None:
+        """Send what waits, and again what is not acknowledged in time."""
+        self.flush(now)
+        if not self._in_flight or now < self._resend_at:
+            return
+        for _, entries in self._in_flight:
+            self._send(self.peer, PeerMessage(log=entries))
+        self._resend_seconds = min(MAX_RESEND_SECONDS, self._resend_seconds * 2)
+        self._resend_at = now + self._resend_seconds
+
+    def _append(self, queue: deque[LogOp], op: LogOp) -> None:
+        if self.backlog >= MAX_BACKLOG:
+            # The stated sequence number still rises, so the peer's certificate
+            # ends although the operation is not kept.
+            self._overflowed = True
+            self._next += 1
+            return
+        queue.append(op)
+
+    def _send_batch(self, now: float) -> None:
+        ops = _take(self._buckets, MAX_BATCH)
+        ops += _take(self._exceptions, MAX_BATCH - len(ops))
+        first = self._next
+        for op in ops:
+            op.sequence = self._next
+            self._next += 1
+        entries = encode_ops(ops, first_sequence=first, reset=self._reset)
+        self._reset = False
+        if not self._in_flight:
+            self._resend_at = now + self._resend_seconds
+        self._in_flight.append((self._next - 1, entries))
+        self._last_sent = now
+        self._send(self.peer, PeerMessage(log=entries))
+
+
+class LogReceiver:
+    """How far the log of one peer is applied here.
+
+    Attributes:
+        incarnation: Incarnation of the peer.
+        applied: Last operation applied; None while the start is not known.
+    """
+
+    __slots__ = ("applied", "incarnation")
+
+    def __init__(self, incarnation: int) -> None:
+        self.incarnation = incarnation
+        self.applied: int | None = None
+
+    def accept(self, entries: LogEntries) -> int | None:
+        """Decide what to do with a message.
+
+        Returns:
+            The number of operations at its start that are applied already; None
+            when the message must be ignored because earlier ones are missing.
+        """
+        first = entries.first_sequence
+        last = first + len(entries.buckets) + len(entries.exceptions) - 1
+        if entries.reset and (self.applied is None or first > self.applied):
+            self.applied = last
+            return 0
+        if self.applied is None or first > self.applied + 1:
+            return None
+        skip = self.applied + 1 - first
+        self.applied = max(self.applied, last)
+        return skip
+
+
+def ack_message(applied: int, incarnation: int) -> PeerMessage:
+    """Build the acknowledgement of a log."""
+    return PeerMessage(log_ack=LogAck(applied=applied, incarnation=incarnation))
+
+
+def _take(queue: deque[LogOp], limit: int) -> list[LogOp]:
+    ops = list(islice(queue, limit))
+    for _ in ops:
+        queue.popleft()
+    return ops
--- /dev/null
+++ b/src/magnoliaslip/placement/service.py
@@ -0,0 +1,116 @@
+"""Everything that placement keeps about one service."""
+
+from collections.abc import Sequence
+from random import Random
+
+from magnoliaslip.config.snapshot import BackendServer, Pool
+from magnoliaslip.core.group import Member
+from magnoliaslip.placement.bucket_table import BUCKET_MASK
+from magnoliaslip.placement.epochs import EpochHistory
+from magnoliaslip.placement.evidence import Evidence
+from magnoliaslip.placement.load import LoadBook, WorkObserver
+from magnoliaslip.placement.servers import ServerRegistry
+from magnoliaslip.placement.settings import PlacementConfig
+from magnoliaslip.placement.slices import Holders, SliceMap
+
+CODE_SHIFT = 16
+
+
+class Service:
+    """One service with its epochs, slices, load and evidence.
+
+    Attributes:
+        index: Number of the service at this instance; never reused.
+        name: Name that routes refer to.
+        pool: The pool in force; None when the service was removed.
+    """
+
+    __slots__ = (
+        "epochs",
+        "evidence",
+        "index",
+        "load",
+        "name",
+        "pool",
+        "servers",
+        "slices",
+    )
+
+    def __init__(
+        self,
+        index: int,
+        name: str,
+        instance_id: str,
+        *,
+        cfg: PlacementConfig,
+        rng: Random,
+        observer: WorkObserver | None = None,
+    ) -> None:
+        self.index = index
+        self.name = name
+        self.pool: Pool | None = None
+        self.servers = ServerRegistry(name)
+        self.epochs = EpochHistory(
+            self.servers, window=cfg.history_window, grace=cfg.direct_grace
+        )
+        self.slices = SliceMap(name, instance_id)
+        self.load = LoadBook(name, slow_start=cfg.slow_start, observer=observer)
+        self.evidence = Evidence(rng)
+
+    def apply(
+        self, version: int, since: float, pool: Pool | None, zones_out: frozenset[str]
+    ) -> list[int]:
+        """Put a configuration version in force.
+
+        Returns:
+            Numbers of the servers that it adds or whose zone it puts back in.
+        """
+        former = self._serving_numbers() if self.epochs.epochs else None
+        self.pool = pool
+        servers = pool.servers if pool else ()
+        self.epochs.append(version, since, servers, zones_out)
+        if former is None:
+            return []
+        now_in = {
+            self.servers.register(server)
+            for server in servers
+            if server.zone not in zones_out
+        }
+        for number in former - now_in:
+            self.load.forget(number)
+            self.evidence.forget(number)
+        return sorted(now_in - former)
+
+    def apply_members(
+        self, members: Sequence[Member], now: float
+    ) -> tuple[int, list[Holders | None]] | None:
+        """Compute slices again; returns the former ones if they changed."""
+        servers = self.pool.servers if self.pool else ()
+        return self.slices.update(servers, members, now)
+
+    def code(self, bucket: int) -> int:
+        """Return the code of a bucket among all services."""
+        return self.index << CODE_SHIFT | bucket
+
+    def server(self, number: int) -> BackendServer:
+        """Return a server by number."""
+        return self.servers[number]
+
+    def _serving_numbers(self) -> set[int]:
+        if self.pool is None:
+            return set()
+        out = self.epochs.current.out
+        return {
+            self.servers.register(server)
+            for server in self.pool.servers
+            if server.zone not in out
+        }
+
+
+def code_bucket(code: int) -> int:
+    """Return the bucket of a code.
+
+    >>> code_bucket(3 << CODE_SHIFT | 7)
+    7
+    """
+    return code & BUCKET_MASK
--- a/src/magnoliaslip/placement/settings.py
+++ b/src/magnoliaslip/placement/settings.py
@@ -8,18 +8,24 @@
     """Bounds and terms of the router; all times are in seconds.
 
     Attributes:
-        history_window: How long an epoch stays in the history.
+        history_window: How long an epoch stays the base of established flows.
+        direct_grace: How much later than owners an instance uses a new base for
+            direct forwarding.
         lease_term: How long a certificate holds after a heartbeat was sent.
         slow_start: Length of the ramp of a cold backend server.
         leave_deadline: How long a leaving instance goes on at most.
-        young_flow: Flows opened more recently than this are handed to the new
-            owners when the instance leaves, defaults included.
-        max_records: Flow records held; the oldest defaults go first.
+        young_flow: Flows opened more recently than this are handed to a new
+            owner, flows on their default server included.
+        max_records: Flow records held; the oldest default flows go first.
+        bulk_rate: Exceptions a second that are sent again after a change of
+            members or slices; the leaving instance sends ten times as many.
     """
 
     history_window: float = 3600.0
+    direct_grace: float = 60.0
     lease_term: float = 1.5
     slow_start: float = 30.0
     leave_deadline: float = 30.0
-    young_flow: float = 60.0
+    young_flow: float = 5.0
     max_records: int = 400_000
+    bulk_rate: int = 100
--- /dev/null
+++ b/src/magnoliaslip/placement/state.py
@@ -0,0 +1,129 @@
+"""What the parts of the router share."""
+
+from collections import Counter
+from random import Random
+
+from magnoliaslip.config.snapshot import Snapshot
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.group import GroupView
+from magnoliaslip.core.links import PacketLink, PeerLink
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.placement.certificates import CertificateBook
+from magnoliaslip.placement.load import WorkObserver
+from magnoliaslip.placement.opens import OpenTable
+from magnoliaslip.placement.records import FlowRecords
+from magnoliaslip.placement.replication import PeerLog
+from magnoliaslip.placement.service import Service
+from magnoliaslip.placement.settings import PlacementConfig
+
+POLICIES = ("exceptions", "owner", "replicated", "stateless")
+
+
+class PlacementState:
+    """The state of one router, owned by its `FlowRouter`.
+
+    Attributes:
+        recorder: None when nothing is recorded, so that no fields are built.
+        epoch: Rises whenever an answer of ``FlowRouter.direct`` may be invalid.
+        routes: Services by service address and port in network order.
+        moved: Former services of addresses whose route changed, with the
+            monotonic time until which established flows belong to them.
+    """
+
+    __slots__ = (
+        "certificates",
+        "cfg",
+        "clock",
+        "counters",
+        "epoch",
+        "instance_id",
+        "leaving",
+        "logs",
+        "moved",
+        "observer",
+        "opens",
+        "packets",
+        "peers",
+        "policy",
+        "recorder",
+        "records",
+        "rng",
+        "routes",
+        "services",
+        "services_by_name",
+        "snapshot",
+        "suspect",
+        "view",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        *,
+        clock: Clock,
+        packets: PacketLink,
+        peers: PeerLink,
+        recorder: Recorder,
+        rng: Random,
+        policy: str,
+        cfg: PlacementConfig,
+        counters: Counter[str],
+        observer: WorkObserver | None,
+    ) -> None:
+        self.instance_id = instance_id
+        self.clock = clock
+        self.packets = packets
+        self.peers = peers
+        self.recorder = None if isinstance(recorder, NullRecorder) else recorder
+        self.rng = rng
+        self.policy = policy
+        self.cfg = cfg
+        self.counters = counters
+        self.observer = observer
+        self.epoch = 0
+        self.snapshot = Snapshot(version=0)
+        self.view = GroupView(version=0)
+        self.services: list[Service] = []
+        self.services_by_name: dict[str, Service] = {}
+        self.routes: dict[bytes, Service] = {}
+        self.moved: dict[bytes, tuple[Service, float]] = {}
+        self.records = FlowRecords(limit=cfg.max_records)
+        self.opens = OpenTable()
+        self.certificates = CertificateBook(lease_term=cfg.lease_term)
+        self.logs: dict[str, PeerLog] = {}
+        self.leaving = False
+        self.suspect = False
+
+    @property
+    def incarnation(self) -> int:
+        """The incarnation of this process as the view has it."""
+        member = self.view.members.get(self.instance_id)
+        return member.incarnation if member else 0
+
+    def now(self) -> float:
+        """Return monotonic seconds."""
+        return self.clock.monotonic()
+
+    def service(self, name: str) -> Service:
+        """Return a service by name, known from now on."""
+        service = self.services_by_name.get(name)
+        if service is None:
+            service = Service(
+                len(self.services),
+                name,
+                self.instance_id,
+                cfg=self.cfg,
+                rng=self.rng,
+                observer=self.observer,
+            )
+            self.services.append(service)
+            self.services_by_name[name] = service
+        return service
+
+    def peers_in_view(self) -> list[str]:
+        """Return the other members of the view."""
+        return [name for name in self.view.members if name != self.instance_id]
+
+    def owns(self, service: Service, bucket: int) -> bool:
+        """Return whether this instance owns the bucket in its view."""
+        return service.slices.owner(bucket) == self.instance_id
--- /dev/null
+++ b/src/magnoliaslip/placement/suspect_queue.py
@@ -0,0 +1,34 @@
+"""Packets held while the view of the instance is suspect."""
+
+from collections import deque
+
+from magnoliaslip.core.links import Direction
+
+MAX_SUSPECT_PACKETS = 4_096
+SUSPECT_SECONDS = 0.5
+
+
+class SuspectQueue:
+    """A bounded queue with the time at which waiting ends."""
+
+    __slots__ = ("_waiting", "deadline")
+
+    def __init__(self) -> None:
+        self._waiting: deque[tuple[bytes, Direction, int]] = deque()
+        self.deadline = 0.0
+
+    def start(self, now: float) -> None:
+        """Start to wait."""
+        self.deadline = now + SUSPECT_SECONDS
+
+    def add(self, packet: bytes, direction: Direction, hops: int) -> bool:
+        """Hold a packet; returns False when the queue is full."""
+        if len(self._waiting) >= MAX_SUSPECT_PACKETS:
+            return False
+        self._waiting.append((packet, direction, hops))
+        return True
+
+    def take(self) -> deque[tuple[bytes, Direction, int]]:
+        """Return the held packets, oldest first, and hold none."""
+        waiting, self._waiting = self._waiting, deque()
+        return waiting
--- /dev/null
+++ b/tests/placement/fleet.py
@@ -0,0 +1,293 @@
+"""Several routers joined by in-memory links, with stand-ins for servers."""
+
+from collections import deque
+from random import Random
+
+from magnoliaslip.config.snapshot import (
+    BackendServer,
+    HistoryEntry,
+    Pool,
+    Route,
+    Snapshot,
+)
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.core.group import GroupView, Member, MemberState
+from magnoliaslip.core.links import Direction, PacketLink, PeerLink
+from magnoliaslip.core.recorder import Recorder
+from magnoliaslip.packet.flow_key import ACK, PSH, RST, SYN, make_key, reverse_key
+from magnoliaslip.packet.segment import Segment
+from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
+from magnoliaslip.placement.bucket_table import BUCKET_MASK
+from magnoliaslip.placement.hashing import flow_hash
+from magnoliaslip.placement.router import FlowRouter
+
+SERVICE = Address("198.51.100.10", 443)
+ZONES = "abcd"
+
+
+def make_pool(count, *, slots=4, version=1, drain=(), first=1):
+    return Pool(
+        "rota",
+        version,
+        tuple(
+            BackendServer(
+                f"s{n}",
+                Address("127.0.0.1", 6000 + n),
+                ZONES[n % 4],
+                slots=slots,
+                drain=f"s{n}" in drain,
+            )
+            for n in range(first, first + count)
+        ),
+    )
+
+
+def make_snapshot(version, pool, zones_out=()):
+    routes = {SERVICE: Route(SERVICE, "rota")}
+    return Snapshot(version, routes, {"rota": pool}, frozenset(zones_out))
+
+
+def flow(number):
+    return make_key(Address(f"10.0.{number >> 8}.{number & 255}", 1000), SERVICE)
+
+
+def bucket(key):
+    return flow_hash(key) & BUCKET_MASK
+
+
+class _Server:
+    def __init__(self, fleet, server):
+        self.fleet = fleet
+        self.name = server.name
+        self.mode = "accept"
+        self.isn = server.address.port
+        self.known = set()
+
+    def receive(self, segment):
+        self.fleet.handed.setdefault(segment.key, []).append((self.name, segment))
+        if self.mode == "silent":
+            return
+        if segment.is_open and self.mode == "accept":
+            self.known.add(segment.key)
+            key = reverse_key(segment.key)
+            self.answer(Segment(key, SYN | ACK, seq=self.isn, ack=segment.seq + 1))
+        elif segment.is_open or segment.key not in self.known:
+            self.answer(segment.reset_reply())
+        elif segment.payload:
+            key = reverse_key(segment.key)
+            self.answer(Segment(key, PSH | ACK, payload=self.name.encode()))
+
+    def answer(self, segment):
+        self.fleet.spray(segment.encode(), Direction.ANSWER)
+
+
+class _Node(PacketLink, PeerLink, Recorder):
+    def __init__(self, fleet, name, policy, cfg):
+        self.fleet, self.name = fleet, name
+        self.alive, self.paused = True, False
+        self.state, self.incarnation = MemberState.SERVING, 1
+        self.received, self.number, self.records = {}, 0, []
+        self.backlog = []
+        self.router = FlowRouter(
+            name,
+            clock=fleet.clock,
+            packets=self,
+            peers=self,
+            recorder=self,
+            rng=Random(name),
+            policy=policy,
+            cfg=cfg,
+        )
+
+    def record(self, kind, **fields):
+        self.records.append((kind, fields))
+
+    def send_to_server(self, server, packet):
+        self.fleet.queue.append((None, self.fleet.server_at[server], packet))
+
+    def send_to_caller(self, packet):
+        segment = Segment.decode(packet)
+        self.fleet.answers.setdefault(reverse_key(segment.key), []).append(segment)
+
+    def relay(self, instance_id, packet, *, direction, hops):
+        self.fleet.to_node(instance_id, packet, direction, hops)
+
+    def send(self, instance_id, msg):
+        copy = PeerMessage()
+        copy.CopyFrom(msg)
+        copy.sender, copy.incarnation = self.name, self.incarnation
+        self.fleet.control_bytes += copy.ByteSize()
+        if not self.fleet.is_cut(self.name, instance_id):
+            self.fleet.queue.append((self.name, instance_id, copy))
+
+
+class Fleet:
+    """Routers ``i1`` to ``iN`` in zones a to d, one service, a manual clock."""
+
+    def __init__(self, nodes=4, *, pool=None, policy="exceptions", cfg=None):
+        self.clock = ManualClock(start=1000.0)
+        self.random = Random(7)
+        self.queue, self.answers, self.handed = deque(), {}, {}
+        self.control_bytes = 0
+        self.server_at, self.servers = {}, {}
+        self.cut, self.lose = set(), lambda sender, to, item: False
+        self.view_version = 0
+        self.policy, self.cfg = policy, cfg
+        self.history = [
+            HistoryEntry(make_snapshot(1, pool or make_pool(7)), self.clock.monotonic())
+        ]
+        self.nodes = {}
+        for number in range(1, nodes + 1):
+            self.add_node(f"i{number}")
+        self.set_view()
+        self.run(2.0)
+
+    def add_node(self, name, state=MemberState.SERVING):
+        node = self.nodes[name] = _Node(self, name, self.policy, self.cfg)
+        node.state = state
+        self.apply_history([name])
+        return node
+
+    def zone(self, name):
+        return ZONES[int(name[1:]) % 4]
+
+    def publish(self, pool=None, zones_out=(), *, to=None):
+        last = self.history[-1].snapshot
+        snapshot = make_snapshot(
+            last.version + 1, pool or last.pools["rota"], zones_out
+        )
+        self.history.append(HistoryEntry(snapshot, self.clock.monotonic()))
+        self.apply_history(to or list(self.nodes))
+
+    def apply_history(self, names):
+        for server in self.history[-1].snapshot.pools["rota"].servers:
+            if server.address not in self.server_at:
+                self.server_at[server.address] = server.name
+                self.servers[server.name] = _Server(self, server)
+        for name in names:
+            self.nodes[name].router.apply_history(self.history)
+            self.nodes[name].config = self.history[-1].snapshot.version
+
+    def view(self, names, unheard=()):
+        self.view_version += 1
+        members = {
+            name: Member(
+                name,
+                self.zone(name),
+                self.nodes[name].state,
+                self.nodes[name].incarnation,
+            )
+            for name in names
+        }
+        return GroupView(self.view_version, members, frozenset(unheard))
+
+    def set_view(self, *, at=None, unheard=()):
+        alive = [name for name, node in self.nodes.items() if node.alive]
+        names = [name for name in alive if name not in unheard]
+        for name in at or names:
+            self.nodes[name].router.apply_view(self.view(names, unheard))
+
+    def kill(self, name):
+        self.nodes[name].alive = False
+
+    def is_cut(self, one, other):
+        return (one, other) in self.cut or (other, one) in self.cut
+
+    def spray(self, packet, direction, via=None):
+        alive = [n for n, node in self.nodes.items() if node.alive and not node.paused]
+        self.to_node(via or self.random.choice(alive), packet, direction, 0)
+
+    def to_node(self, name, packet, direction, hops):
+        self.queue.append((None, name, (packet, direction, hops)))
+
+    def deliver(self):
+        while self.queue:
+            sender, to, item = self.queue.popleft()
+            if self.lose(sender, to, item):
+                continue
+            if to in self.servers:
+                self.servers[to].receive(Segment.decode(item))
+                continue
+            node = self.nodes[to]
+            if node.paused:
+                node.backlog.append((sender, to, item))
+            elif node.alive:
+                self._deliver_to(node, sender, item)
+
+    def _deliver_to(self, node, sender, item):
+        if isinstance(item, PeerMessage):
+            if item.WhichOneof("body") == "heartbeat":
+                node.received[sender] = item.heartbeat.number, item.incarnation
+            node.router.on_peer_message(sender, item)
+        else:
+            packet, direction, hops = item
+            node.router.handle_packet(packet, direction=direction, hops=hops)
+
+    def resume(self, name):
+        node = self.nodes[name]
+        node.paused = False
+        self.queue.extendleft(reversed(node.backlog))
+        node.backlog = []
+
+    def heartbeats(self):
+        for node in self.nodes.values():
+            if not node.alive or node.paused:
+                continue
+            node.number += 1
+            for peer in self.nodes:
+                if peer != node.name:
+                    echo, incarnation = node.received.get(peer, (0, 0))
+                    beat = Heartbeat(
+                        number=node.number,
+                        echo_number=echo,
+                        echo_incarnation=incarnation,
+                        state=int(node.state),
+                        config_version=node.config,
+                    )
+                    node.router.fill_heartbeat(peer, beat)
+                    node.send(peer, PeerMessage(heartbeat=beat))
+
+    def run(self, seconds):
+        for step in range(round(seconds * 10)):
+            self.clock.advance(0.1)
+            for node in self.nodes.values():
+                if node.alive and not node.paused:
+                    node.router.on_tick()
+            if step % 5 == 0:
+                self.heartbeats()
+            self.deliver()
+
+    def syn(self, key, via=None, seq=100):
+        self.spray(Segment(key, SYN, seq=seq).encode(), Direction.REQUEST, via)
+        self.deliver()
+
+    def say(self, key, via=None, flags=PSH | ACK, payload=b"x", seq=101):
+        segment = Segment(key, flags, seq=seq, ack=1, payload=payload)
+        self.spray(segment.encode(), Direction.REQUEST, via)
+        self.deliver()
+
+    def owner(self, key, at="i1"):
+        return self.nodes[at].router.explain(key).owner
+
+    def default(self, key, at="i1"):
+        return self.nodes[at].router.explain(key).server
+
+    def servers_of(self, key):
+        return {name for name, _ in self.handed.get(key, [])}
+
+    def was_reset(self, key):
+        return any(segment.flags & RST for segment in self.answers.get(key, []))
+
+    def established(self, key):
+        return any(segment.flags & SYN for segment in self.answers.get(key, []))
+
+    def answered_by(self, key):
+        return [s.payload.decode() for s in self.answers.get(key, []) if s.payload]
+
+    def open_exception(self, key, via=None):
+        """Open a flow whose default server refuses it."""
+        server = self.servers[self.default(key)]
+        server.mode = "refuse"
+        self.syn(key, via)
+        server.mode = "accept"
