--- a/src/magnoliaslip/placement/decider.py
+++ b/src/magnoliaslip/placement/decider.py
@@ -60,7 +60,7 @@
             default != NO_SERVER
             and default not in exclude
             and (ignored or not service.evidence.blocks(default, now))
-            and self._admits(service, default, now)
+            and self._default_admits(service, bucket, default, now)
         ):
             return Choice(default, "default")
         eligible = self._eligible(service, now, ignored, exclude)
@@ -109,6 +109,21 @@
             default=None,
         )
 
+    def _default_admits(
+        self, service: Service, bucket: int, number: int, now: float
+    ) -> bool:
+        """Return whether the default takes a flow.
+
+        Just after a takeover the SYN may be a retransmission that the former owner
+        placed on the default. A warm default then takes it beyond its slots, so that
+        the flow does not reach two servers.
+        """
+        if self._admits(service, number, now):
+            return True
+        return not service.slices.settled(bucket, now) and not service.load.is_cold(
+            number, now
+        )
+
     def _admits(self, service: Service, number: int, now: float) -> bool:
         server = service.servers[number]
         if service.load.is_cold(number, now):
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -109,7 +109,8 @@
             state.epoch += 1
             record = None
         if record is None:
-            self._place(packet, service, now)
+            if not self._asks_holder(packet, service, now):
+                self._place(packet, service, now)
             return
         if pending is None:
             # The server may answer the new SYN with another sequence number.
@@ -227,13 +228,8 @@
         state = self._state
         now = state.now()
         bucket = packet.bucket
-        if not service.slices.settled(bucket, now) and packet.hops < 2:
-            code = service.code(bucket)
-            holder = state.certificates.dirty_at(code, state.peers_in_view())
-            if holder is not None:
-                # After a takeover this member may still have the exception alone.
-                self._forwarder.relay(packet, holder)
-                return
+        if self._asks_holder(packet, service, now):
+            return
         moved = state.moved.get(packet.route_key)
         if moved is not None and now < moved[1]:
             service = moved[0]
@@ -254,6 +250,24 @@
                 FlowRecord(service.index, number, flags, opened),
             )
 
+    def _asks_holder(self, packet: FlowPacket, service: Service, now: float) -> bool:
+        """Relay a packet of an unknown flow to a member that may know it.
+
+        An exception is acknowledged by one replica before its opening packet is sent
+        on, and that is not always the one that takes the slice over. The member
+        relays the packet back when it does not know the flow either.
+        """
+        bucket = packet.bucket
+        if packet.hops >= 2 or service.slices.settled(bucket, now):
+            return False
+        state = self._state
+        peers = state.peers_in_view()
+        holder = state.certificates.dirty_at(service.code(bucket), peers)
+        if holder is None:
+            return False
+        self._forwarder.relay(packet, holder)
+        return True
+
     def _accepted(self, packet: FlowPacket, record: FlowRecord | None) -> None:
         """Let the SYN-ACK of the flow's server pass, and no other."""
         state = self._state
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -387,17 +387,23 @@
     def _acts_as_owner(self, packet: FlowPacket, service: Service) -> bool:
         """Return whether this instance decides about the packet.
 
-        Besides the owner, that is the instance that placed a pending open, and a
-        leaving one to which a packet comes back because others do not know yet.
+        Besides the owner, that is the instance that placed a pending open, one that
+        an owner asks because it holds the exception, and a leaving one to which a
+        packet comes back because others do not know yet.
         """
         state = self._state
         if state.owns(service, packet.bucket):
             return True
         if state.leaving and packet.hops >= 2:
             return True
-        return bool(packet.flags & (SYN | RST)) and (
-            state.opens.get(packet.key) is not None
-        )
+        if not packet.flags & (SYN | RST):
+            return False
+        if state.opens.get(packet.key) is not None:
+            return True
+        if not packet.is_open or not packet.hops or self.policy == "owner":
+            return False
+        record = state.records.get(packet.key, packet.hash)
+        return record is not None and bool(record.flags & FlowFlag.EXCEPTION)
 
     def _to_owner(self, packet: FlowPacket, service: Service) -> None:
         owner = service.slices.owner(packet.bucket)
