Fix false refusals and lost dirty news after pauses and returns

Cause: a randomized run of pauses, kills, loss and uneven updates showed three faults: a woken owner refused opens that another owner had placed; a member that returned to a view kept a clean certificate, because the new log to it reused old numbers; and owners with another number of slices let resets of unknown flows pass. Change: settling restarts after a suspect view, log numbers go on rising, owners are settled only while all members report the same slices, and an open that is still held when its slice moves goes to the new owner.

--- a/src/magnoliaslip/placement/decider.py
+++ b/src/magnoliaslip/placement/decider.py
@@ -71,7 +71,7 @@
 
     def settled(self, service: Service, bucket: int, now: float) -> bool:
         """Return whether this owner may state that a flow was not run."""
-        return self._state.view.complete and service.slices.settled(bucket, now)
+        return self._state.view.complete and service.settled(bucket, now)
 
     def _eligible(
         self, service: Service, now: float, ignored: bool, exclude: Collection[int]
@@ -120,7 +120,7 @@
         """
         if self._admits(service, number, now):
             return True
-        return not service.slices.settled(bucket, now) and not service.load.is_cold(
+        return not service.settled(bucket, now) and not service.load.is_cold(
             number, now
         )
 
--- a/src/magnoliaslip/placement/epochs.py
+++ b/src/magnoliaslip/placement/epochs.py
@@ -11,6 +11,7 @@
     blank_numbers,
 )
 from magnoliaslip.placement.servers import ServerRegistry
+from magnoliaslip.placement.slices import slice_count
 
 # A pool that changes more often within the window loses its oldest epochs early;
 # the owner turns their recorded flows into exceptions as at the end of the window.
@@ -25,17 +26,24 @@
         version: Configuration version with which the epoch began.
         since: Monotonic time in seconds at which it came into force here.
         out: Availability zones of the service that are out.
+        slices: Number of slices of the pool.
         table: Defaults of the epoch.
     """
 
-    __slots__ = ("out", "since", "table", "version")
+    __slots__ = ("out", "since", "slices", "table", "version")
 
     def __init__(
-        self, version: int, since: float, out: frozenset[str], table: BucketTable
+        self,
+        version: int,
+        since: float,
+        out: frozenset[str],
+        slices: int,
+        table: BucketTable,
     ) -> None:
         self.version = version
         self.since = since
         self.out = out
+        self.slices = slices
         self.table = table
 
 
@@ -98,10 +106,16 @@
         zones = {self._servers[number].zone for number in range(len(self._servers))}
         out = zones_out & zones
         last = self.epochs[-1] if self.epochs else None
-        if last and last.table.candidates == seeds and last.out == out:
+        slices = slice_count(pool)
+        if (
+            last
+            and last.table.candidates == seeds
+            and last.out == out
+            and last.slices == slices
+        ):
             return False
         table = BucketTable(seeds, parent=last.table if last else None)
-        self.epochs.append(Epoch(version, since, out, table))
+        self.epochs.append(Epoch(version, since, out, slices, table))
         if len(self.epochs) > 2:
             # Winners of epochs in the middle are needed only when a zone is out.
             self.epochs[-2].table.detach()
@@ -212,6 +226,11 @@
         self._references = references
         return changed
 
+    def same_slices(self, config_version: int) -> bool:
+        """Return whether a version has as many slices as the current one."""
+        index = self.index_at(config_version)
+        return index is not None and self.epochs[index].slices == self.current.slices
+
     def index_at(self, version: int) -> int | None:
         """Return the index of the epoch of a version; None if it is unknown."""
         for index in range(len(self.epochs) - 1, -1, -1):
@@ -221,7 +240,8 @@
 
     def known_from(self, version: int, since: float) -> None:
         """State that the service did not exist before its first epoch."""
-        self.epochs.append(Epoch(version, since, frozenset(), BucketTable({})))
+        epoch = Epoch(version, since, frozenset(), slice_count(()), BucketTable({}))
+        self.epochs.append(epoch)
 
     def due_base(self, now: float) -> int:
         """Return the index of the epoch that was in force one window ago."""
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -79,8 +79,14 @@
         for key, pending in list(state.opens.held.items()):
             if pending.barrier is None or pending.barrier.is_open(now):
                 del state.opens.held[key]
-                pending.barrier = None
-                self._send_open(pending, now)
+                barrier, pending.barrier = pending.barrier, None
+                service = state.services[pending.service]
+                if state.owns(service, pending.packet.bucket) or state.leaving:
+                    self._send_open(pending, now)
+                else:
+                    if barrier is not None:
+                        barrier.cancel()
+                    self._hand_back(pending, service, now)
 
     def tick(self, now: float) -> None:
         """Forget what ended or took too long."""
@@ -192,6 +198,18 @@
         if not self._forwarder.to_server(pending.packet, service, pending.server, text):
             self._end(pending.packet, now)
 
+    def _hand_back(self, pending: PendingOpen, service: Service, now: float) -> None:
+        """Let the new owner place an open that no server has seen."""
+        packet = pending.packet
+        self._state.opens.remove(packet.key)
+        service.load.ended(pending.server, packet.key)
+        self._keeper.forget_record(packet.key, packet.hash, service, now)
+        owner = service.slices.owner(packet.bucket)
+        if owner is None:
+            self._forwarder.drop(packet, "not_a_member")
+        else:
+            self._forwarder.relay(packet, owner)
+
     def _known(self, packet: FlowPacket, record: FlowRecord) -> None:
         state = self._state
         now = state.now()
@@ -258,7 +276,7 @@
         relays the packet back when it does not know the flow either.
         """
         bucket = packet.bucket
-        if packet.hops >= 2 or service.slices.settled(bucket, now):
+        if packet.hops >= 2 or service.settled(bucket, now):
             return False
         state = self._state
         peers = state.peers_in_view()
--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -20,6 +20,7 @@
 
 # With 7 members and two heartbeats a second this is below 1.5 KB/s.
 LOADS_PER_HEARTBEAT = 4
+MAX_FORMER_PEERS = 1_024
 
 _logger = getLogger(__name__)
 
@@ -40,6 +41,7 @@
         "_load_turn",
         "_receivers",
         "_state",
+        "_used",
         "_window",
         "reported",
     )
@@ -56,6 +58,8 @@
         self._handover = handover
         self._window = window
         self._receivers: dict[str, LogReceiver] = {}
+        # Last number used for peers that left the view and may come back.
+        self._used: dict[str, int] = {}
         self._load_turn: deque[tuple[int, int]] = deque()
         # Configuration version and base version by peer.
         self.reported: dict[str, tuple[int, int]] = {}
@@ -66,7 +70,10 @@
         peers = state.peers_in_view()
         state.certificates.set_required(peers, now)
         for peer in state.logs.keys() - set(peers):
-            del state.logs[peer]
+            self._used.pop(peer, None)
+            self._used[peer] = state.logs.pop(peer).last_sequence
+        while len(self._used) > MAX_FORMER_PEERS:
+            del self._used[next(iter(self._used))]
         for peer in self.reported.keys() - set(peers):
             del self.reported[peer]
         for peer in self._receivers.keys() - set(peers):
@@ -75,7 +82,8 @@
             incarnation = state.view.members[peer].incarnation
             log = state.logs.get(peer)
             if log is None:
-                log = PeerLog(peer, incarnation, state.peers.send)
+                first = self._used.get(peer, 0) + 1
+                log = PeerLog(peer, incarnation, state.peers.send, first_sequence=first)
                 state.logs[peer] = log
                 self._keeper.announce_all(log)
                 self._handover.resend_to(peer)
--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -82,6 +82,8 @@
         peer: The addressee.
         incarnation: Incarnation of the addressee.
         send: Sends a message to a peer.
+        first_sequence: Above every number that this process used for the peer, so
+            that the peer does not take the new start for a repeated message.
     """
 
     __slots__ = (
@@ -101,13 +103,18 @@
     )
 
     def __init__(
-        self, peer: str, incarnation: int, send: Callable[[str, PeerMessage], None]
+        self,
+        peer: str,
+        incarnation: int,
+        send: Callable[[str, PeerMessage], None],
+        *,
+        first_sequence: int = 1,
     ) -> None:
         self.peer = peer
         self.incarnation = incarnation
         self.acked = -1
         self._send = send
-        self._next = 1
+        self._next = first_sequence
         self._buckets: deque[LogOp] = deque()
         self._exceptions: deque[LogOp] = deque()
         self._in_flight: deque[tuple[int, LogEntries]] = deque()
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -327,6 +327,9 @@
             return
         state.suspect = False
         state.epoch += 1
+        # Another instance may have owned the slices meanwhile.
+        for service in state.services:
+            service.slices.restart_settling(state.now())
         self._refresh_deadline(state.now())
         self._owner.release(state.now())
         for packet, direction, hops in self._queue.take():
@@ -453,7 +456,9 @@
         state = self._state
         versions = set(self._exchange.reported.values())
         for service in state.services:
-            if service.epochs.epochs and service.epochs.set_references(versions):
+            if service.epochs.epochs and service.take_versions(
+                versions, state.snapshot.version
+            ):
                 self._window.review(service)
                 state.epoch += 1
 
--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -1,6 +1,6 @@
 """Everything that placement keeps about one service."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from random import Random
 
 from magnoliaslip.config.snapshot import BackendServer, Pool
@@ -23,6 +23,7 @@
         index: Number of the service at this instance; never reused.
         name: Name that routes refer to.
         pool: The pool in force; None when the service was removed.
+        uniform: Whether every member has the same slices, as far as is known.
     """
 
     __slots__ = (
@@ -34,6 +35,7 @@
         "pool",
         "servers",
         "slices",
+        "uniform",
     )
 
     def __init__(
@@ -49,6 +51,7 @@
         self.index = index
         self.name = name
         self.pool: Pool | None = None
+        self.uniform = True
         self.servers = ServerRegistry(name)
         self.epochs = EpochHistory(
             self.servers, window=cfg.history_window, grace=cfg.direct_grace
@@ -88,6 +91,30 @@
         servers = self.pool.servers if self.pool else ()
         return self.slices.update(servers, members, now)
 
+    def take_versions(self, versions: Collection[tuple[int, int]], own: int) -> bool:
+        """Take over the versions that members of the view reported.
+
+        Args:
+            versions: For each member the configuration version in force and the
+                version that is the base of its direct forwarding.
+            own: The configuration version in force here.
+
+        Returns:
+            Whether references of the base defaults changed.
+        """
+        self.uniform = all(
+            version <= own and self.epochs.same_slices(version)
+            for version, _ in versions
+        )
+        return self.epochs.set_references(versions)
+
+    def settled(self, bucket: int, now: float) -> bool:
+        """Return whether no other instance can own the bucket.
+
+        False just after a takeover, and while members have other slices.
+        """
+        return self.uniform and self.slices.settled(bucket, now)
+
     def code(self, bucket: int) -> int:
         """Return the code of a bucket among all services."""
         return self.index << CODE_SHIFT | bucket
--- a/src/magnoliaslip/placement/slices.py
+++ b/src/magnoliaslip/placement/slices.py
@@ -152,6 +152,10 @@
         since = self._owned_since.get(bucket % self.count)
         return since is not None and now - since > SETTLE_SECONDS
 
+    def restart_settling(self, now: float) -> None:
+        """Count the time of ownership from now on, as after a takeover."""
+        self._owned_since = dict.fromkeys(self._owned_since, now)
+
     def took_over(self, now: float, seconds: float) -> bool:
         """Return whether a slice came to this instance within the last seconds."""
         return any(now - since < seconds for since in self._owned_since.values())
