Keep members outside a view from certificates and stale opens

Change: heartbeats to members outside the view state a number that no log reaches; opens held while the view was suspect are dropped, callers send them again; ExceptionOp gets the field removed, which removes a copy only of the named server.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -146,6 +146,14 @@
         self.remove(key, key_hash, service, now)
         self._state.records.remove(key, key_hash)
 
+    def forget_copy(
+        self, key: bytes, key_hash: int, service: Service, now: float
+    ) -> None:
+        """Remove the record of a flow here, and leave the copies of others."""
+        record = self._state.records.remove(key, key_hash)
+        if record is not None and record.flags & FlowFlag.EXCEPTION:
+            self._unmark(service.code(code_bucket(key_hash)), now)
+
     def replicas(self, service: Service, bucket: int) -> Iterable[str]:
         """Return the members that hold copies besides this instance."""
         state = self._state
@@ -160,8 +168,24 @@
             if each != state.instance_id
         ]
 
-    def apply(self, service_name: str, key: bytes, server: str, now: float) -> Applied:
-        """Apply an exception that another instance sent."""
+    def apply(
+        self,
+        service_name: str,
+        key: bytes,
+        server: str,
+        now: float,
+        *,
+        removed: bool = False,
+    ) -> Applied:
+        """Apply an exception that another instance sent.
+
+        Args:
+            service_name: Name of the service.
+            key: Flow key.
+            server: Name of the server; empty to remove the exception.
+            now: Monotonic time in seconds.
+            removed: Remove the exception if it names this server.
+        """
         state = self._state
         service = state.service(service_name)
         key_hash = flow_hash(key)
@@ -169,8 +193,12 @@
         record = state.records.get(key, key_hash)
         owner = state.owns(service, bucket)
         had = record is not None and bool(record.flags & FlowFlag.EXCEPTION)
-        if not server:
-            self._unresolved.pop(key, None)
+        other = record is not None and service.servers[record.server].name != server
+        if removed and other:
+            return Applied.NOTHING
+        if not server or removed:
+            if self._unresolved.pop(key, None) is not None:
+                self._unmark(service.code(bucket), now)
             if not had or owner:
                 return Applied.NOTHING
             self.forget_record(key, key_hash, service, now)
@@ -207,9 +235,9 @@
 
     def drop_bucket(self, code: int, now: float) -> None:
         """Drop the exceptions of a bucket that belongs to other members."""
+        service = self._state.services[code >> CODE_SHIFT]
         for key, key_hash, _ in self.in_bucket(code):
-            self._state.records.remove(key, key_hash)
-            self._unmark(code, now)
+            self.forget_copy(key, key_hash, service, now)
 
     def announce_all(self, log: PeerLog) -> None:
         """Put every dirty bucket into a log that starts anew."""
--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -179,7 +179,9 @@
             if op.service_index >= len(entries.services) or len(op.key) != 12:
                 continue
             name = entries.services[op.service_index]
-            applied = self._keeper.apply(name, op.key, op.server, now)
+            applied = self._keeper.apply(
+                name, op.key, op.server, now, removed=op.removed
+            )
             if applied is not Applied.NOTHING:
                 self._pass_on(name, op.key)
             changed |= applied is Applied.CHANGED
--- a/src/magnoliaslip/placement/opens.py
+++ b/src/magnoliaslip/placement/opens.py
@@ -53,7 +53,7 @@
     def cancel(self) -> None:
         """Remove the exception at the replicas; its open was given up."""
         for log, op in self._replicas:
-            log.add_exception(op.service, op.key, "")
+            log.add_exception(op.service, op.key, op.server, removed=True)
 
 
 class PendingOpen:
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -99,6 +99,15 @@
             if record is not None and record.flags & FlowFlag.ENDED:
                 self._forget(key, key_hash, record, now)
 
+    def abandon_held(self, now: float) -> None:
+        """Give up opens that no server has seen, since the view is suspect.
+
+        Another instance may have placed them meanwhile, with the server of the
+        copies that replicas hold; these stay. The caller sends its SYN again.
+        """
+        for pending in list(self._state.opens.held.values()):
+            self._drop_held(pending, now)
+
     def _open(
         self, packet: FlowPacket, service: Service, record: FlowRecord | None
     ) -> None:
@@ -144,6 +153,9 @@
         return age < REOPEN_SECONDS or record.server in candidates
 
     def _place(self, packet: FlowPacket, service: Service, now: float) -> None:
+        if self._state.stale_opens:
+            self._forwarder.drop(packet, "stale_open")
+            return
         choice = self._decider.choose(service, packet.bucket, now)
         if choice is None:
             if self._decider.settled(service, packet.bucket, now):
@@ -201,15 +213,20 @@
     def _hand_back(self, pending: PendingOpen, service: Service, now: float) -> None:
         """Let the new owner place an open that no server has seen."""
         packet = pending.packet
-        self._state.opens.remove(packet.key)
-        service.load.ended(pending.server, packet.key)
-        self._keeper.forget_record(packet.key, packet.hash, service, now)
+        self._drop_held(pending, now)
         owner = service.slices.owner(packet.bucket)
         if owner is None:
             self._forwarder.drop(packet, "not_a_member")
         else:
             self._forwarder.relay(packet, owner)
 
+    def _drop_held(self, pending: PendingOpen, now: float) -> None:
+        packet = pending.packet
+        service = self._state.services[pending.service]
+        self._state.opens.remove(packet.key)
+        service.load.ended(pending.server, packet.key)
+        self._keeper.forget_copy(packet.key, packet.hash, service, now)
+
     def _known(self, packet: FlowPacket, record: FlowRecord) -> None:
         state = self._state
         now = state.now()
--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -100,6 +100,11 @@
         if log is not None:
             log.flush(now)
             heartbeat.log_sequence = log.last_sequence
+        else:
+            # Outside the view there is no log. A number that no log reaches before
+            # it starts anew keeps the peer from holding a certificate.
+            self._used[peer] = self._used.get(peer, 0) + 1
+            heartbeat.log_sequence = self._used[peer]
         receiver = self._receivers.get(peer)
         if receiver is not None and receiver.applied is not None:
             heartbeat.log_applied = receiver.applied
--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -33,10 +33,19 @@
         dirty: Whether the bucket holds exceptions now.
         key: Flow key of an exception operation.
         server: Server of the exception; empty when it is removed.
+        removed: Whether it is removed if it names this server.
         sequence: Number in the log; 0 until it is sent.
     """
 
-    __slots__ = ("bucket", "dirty", "key", "sequence", "server", "service")
+    __slots__ = (
+        "bucket",
+        "dirty",
+        "key",
+        "removed",
+        "sequence",
+        "server",
+        "service",
+    )
 
     def __init__(
         self,
@@ -46,12 +55,14 @@
         dirty: bool = False,
         key: bytes = b"",
         server: str = "",
+        removed: bool = False,
     ) -> None:
         self.service = service
         self.bucket = bucket
         self.dirty = dirty
         self.key = key
         self.server = server
+        self.removed = removed
         self.sequence = 0
 
 
@@ -69,7 +80,12 @@
             )
         else:
             entries.exceptions.append(
-                ExceptionOp(service_index=index, key=op.key, server=op.server)
+                ExceptionOp(
+                    service_index=index,
+                    key=op.key,
+                    server=op.server,
+                    removed=op.removed,
+                )
             )
     entries.services.extend(indexes)
     return entries
@@ -145,9 +161,18 @@
         self._append(self._buckets, op)
         return op
 
-    def add_exception(self, service: str, key: bytes, server: str) -> LogOp:
-        """Append an exception; an empty server removes it."""
-        op = LogOp(service, key=key, server=server)
+    def add_exception(
+        self, service: str, key: bytes, server: str, *, removed: bool = False
+    ) -> LogOp:
+        """Append an exception; an empty server removes it.
+
+        Args:
+            service: Name of the service.
+            key: Flow key.
+            server: Name of the server.
+            removed: Remove the exception if it names this server.
+        """
+        op = LogOp(service, key=key, server=server, removed=removed)
         self._append(self._exceptions, op)
         return op
 
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -317,11 +317,16 @@
             state.suspect = True
             self._queue.start(now)
         state.certificates.void()
+        self._owner.abandon_held(now)
         state.epoch += 1
         self._refresh_deadline(now)
 
     def confirm_view(self) -> None:
-        """Trust the view again and handle the packets that were held."""
+        """Trust the view again and handle the packets that were held.
+
+        Opening packets are not placed here: they may be older than the pause, and
+        another instance may have placed their flows. Callers send them again.
+        """
         state = self._state
         if not state.suspect:
             return
@@ -332,8 +337,11 @@
             service.slices.restart_settling(state.now())
         self._refresh_deadline(state.now())
         self._owner.release(state.now())
-        for packet, direction, hops in self._queue.take():
+        waiting = self._queue.take()
+        state.stale_opens = True
+        for packet, direction, hops in waiting:
             self.handle_packet(packet, direction=direction, hops=hops)
+        state.stale_opens = False
 
     def _hold(self, packet: bytes, direction: Direction, hops: int) -> bool:
         if self._state.now() >= self._queue.deadline:
--- a/src/magnoliaslip/placement/state.py
+++ b/src/magnoliaslip/placement/state.py
@@ -28,6 +28,7 @@
         routes: Services by service address and port in network order.
         moved: Former services of addresses whose route changed, with the
             monotonic time until which established flows belong to them.
+        stale_opens: Whether packets that were held in a suspect view are handled.
     """
 
     __slots__ = (
@@ -52,6 +53,7 @@
         "services",
         "services_by_name",
         "snapshot",
+        "stale_opens",
         "suspect",
         "view",
     )
@@ -93,6 +95,7 @@
         self.logs: dict[str, PeerLog] = {}
         self.leaving = False
         self.suspect = False
+        self.stale_opens = False
 
     @property
     def incarnation(self) -> int:
--- a/tests/placement/fleet.py
+++ b/tests/placement/fleet.py
@@ -279,6 +279,11 @@
     def was_reset(self, key):
         return any(segment.flags & RST for segment in self.answers.get(key, []))
 
+    def reset_after_open(self, key):
+        flags = [segment.flags for segment in self.answers.get(key, [])]
+        opened = next(n for n, each in enumerate(flags) if each & SYN)
+        return any(each & RST for each in flags[opened:])
+
     def established(self, key):
         return any(segment.flags & SYN for segment in self.answers.get(key, []))
 
