Send retried and doubtful opens to one server only

Change: a later exception drops the unresolved one; records of held opens become guesses when the view is suspect; opens of a moved slice are dropped after the copies are removed, so that the caller's next SYN goes to the new owner; a member that knows the flow tells its owner.

--- a/src/magnoliaslip/placement/certificates.py
+++ b/src/magnoliaslip/placement/certificates.py
@@ -160,6 +160,16 @@
             end = min(end, certificate.deadline())
         return end
 
+    def is_synced(self, now: float) -> bool:
+        """Return whether every member of the view certifies its buckets now.
+
+        Unlike for `deadline`, members that left the view do not matter.
+        """
+        return all(
+            peer in self._certificates and now < self._certificates[peer].deadline()
+            for peer in self._required
+        )
+
     def void(self) -> None:
         """Give up every lease, because time may have passed unnoticed."""
         for certificate in self._certificates.values():
--- /dev/null
+++ b/src/magnoliaslip/placement/direct_paths.py
@@ -0,0 +1,75 @@
+"""Forwarding without the owner, as far as certificates allow it."""
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.packet.flow_key import FlowKey
+from magnoliaslip.placement.epochs import NOT_DIRECT
+from magnoliaslip.placement.exceptions import ExceptionKeeper
+from magnoliaslip.placement.records import FlowFlag
+from magnoliaslip.placement.service import CODE_SHIFT, Service
+from magnoliaslip.placement.state import PlacementState
+
+
+class DirectPaths:
+    """Answers where a mid-flow packet may go directly, and until when.
+
+    Args:
+        state: State of the router.
+        keeper: The exceptions held here.
+
+    Attributes:
+        deadline: Monotonic time until which answers hold; 0 for not at all.
+    """
+
+    __slots__ = ("_keeper", "_state", "deadline")
+
+    def __init__(self, state: PlacementState, keeper: ExceptionKeeper) -> None:
+        self._state = state
+        self._keeper = keeper
+        self.deadline = 0.0
+
+    def server(self, key: FlowKey, service: Service, bucket: int) -> int | None:
+        """Return the number of the default if every member certifies the bucket."""
+        state = self._state
+        code = service.index << CODE_SHIFT | bucket
+        if (
+            state.now() >= self.deadline
+            or state.certificates.is_dirty(code)
+            or self._keeper.is_dirty(code)
+            or (state.moved and key[4:8] + key[10:12] in state.moved)
+        ):
+            return None
+        number = service.epochs.direct(bucket)
+        return number if number < NOT_DIRECT else None
+
+    def recorded(
+        self, key: FlowKey, key_hash: int, service: Service, bucket: int
+    ) -> Address | None:
+        """Return the address of an established flow's server by record.
+
+        Exceptions hold at every member that has them, other records at the owner.
+        """
+        state = self._state
+        record = state.records.get(key, key_hash)
+        if record is None or not record.flags & FlowFlag.ESTABLISHED:
+            return None
+        if record.flags & (FlowFlag.ENDED | FlowFlag.GUESSED):
+            return None
+        if not record.flags & FlowFlag.EXCEPTION and not state.owns(service, bucket):
+            return None
+        server = state.services[record.service].servers[record.server]
+        return None if server.zone in state.snapshot.zones_out else server.address
+
+    def refresh(self, now: float) -> None:
+        """Take over until when certificates hold; a shorter time ends the epoch."""
+        state = self._state
+        if state.suspect or state.policy in ("owner", "replicated"):
+            deadline = 0.0
+        elif state.policy == "stateless":
+            deadline = float("inf")
+        else:
+            deadline = state.certificates.deadline()
+        if deadline <= now:
+            deadline = 0.0
+        if deadline < self.deadline:
+            state.epoch += 1
+        self.deadline = deadline
--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -117,8 +117,9 @@
             log = state.logs.get(peer)
             if log is not None:
                 replicas.append((log, log.add_exception(service.name, key, server)))
-        for log in {log for log, *_ in (*dirty, *replicas) if log is not None}:
-            log.flush(now, urgent=True)
+        for log, *_ in (*dirty, *replicas):
+            if log is not None:
+                log.flush(now, urgent=True)
         return Barrier(list(dirty), replicas, now) if dirty or replicas else None
 
     def remove(self, key: bytes, key_hash: int, service: Service, now: float) -> None:
@@ -134,7 +135,7 @@
         if state.owns(service, bucket):
             # Joining members may have got the exception with their first copy.
             joining = [m.id for m in state.view.members.values() if not m.state]
-            for peer in {*self.replicas(service, bucket), *joining}:
+            for peer in dict.fromkeys((*self.replicas(service, bucket), *joining)):
                 log = state.logs.get(peer)
                 if log is not None:
                     log.add_exception(service.name, key, "")
@@ -154,6 +155,17 @@
         if record is not None and record.flags & FlowFlag.EXCEPTION:
             self._unmark(service.code(code_bucket(key_hash)), now)
 
+    def tell_owner(
+        self, key: bytes, key_hash: int, service: Service, now: float
+    ) -> None:
+        """Send an exception to the owner of its slice, which did not know it."""
+        owner = service.slices.owner(code_bucket(key_hash))
+        log = self._state.logs.get(owner) if owner else None
+        record = self._state.records.get(key, key_hash)
+        if log is not None and record is not None:
+            log.add_exception(service.name, key, service.servers[record.server].name)
+            log.flush(now, urgent=True)
+
     def replicas(self, service: Service, bucket: int) -> Iterable[str]:
         """Return the members that hold copies besides this instance."""
         state = self._state
@@ -210,6 +222,8 @@
                     self._mark(service.code(bucket), now)
                 self._unresolved[key] = _Unresolved(service_name, server)
             return Applied.NOTHING
+        if self._unresolved.pop(key, None) is not None:
+            self._unmark(service.code(bucket), now)
         if record is not None and owner and self._is_firm(key, record):
             return Applied.NOTHING
         plain = owner and not had and service.epochs.is_default(bucket, number)
@@ -229,9 +243,7 @@
         for key, (service_name, server) in list(self._unresolved.items()):
             service = self._state.service(service_name)
             if service.servers.find(server) is not None:
-                del self._unresolved[key]
                 self.apply(service_name, key, server, now)
-                self._unmark(service.code(code_bucket(flow_hash(key))), now)
 
     def drop_bucket(self, code: int, now: float) -> None:
         """Drop the exceptions of a bucket that belongs to other members."""
--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -200,7 +200,7 @@
             targets = self._queue.pop(code)
             service = state.services[code >> CODE_SHIFT]
             for op in self._ops(service, code):
-                for peer in targets:
+                for peer in sorted(targets):
                     log = state.logs.get(peer)
                     if log is not None:
                         log.add_exception(op.service, op.key, op.server)
--- /dev/null
+++ b/src/magnoliaslip/placement/opener.py
@@ -0,0 +1,262 @@
+"""Opens at the owner of their bucket, until a server accepts them."""
+
+from logging import getLogger
+
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.placement.decider import Choice, Decider
+from magnoliaslip.placement.exceptions import ExceptionKeeper
+from magnoliaslip.placement.flow_ends import FlowEnds
+from magnoliaslip.placement.flow_packet import FlowPacket
+from magnoliaslip.placement.forwarder import Forwarder
+from magnoliaslip.placement.opens import SILENT_AFTER_PACKETS, PendingOpen
+from magnoliaslip.placement.records import TICKS_PER_SECOND, FlowFlag, FlowRecord
+from magnoliaslip.placement.service import Service
+from magnoliaslip.placement.state import PlacementState
+
+# No opening packet of the same connection is retransmitted after this long, so a
+# later one opens a new connection.
+REOPEN_SECONDS = 60.0
+
+_logger = getLogger(__name__)
+
+
+class Opener:
+    """Places opens, holds them back while copies are missing, and moves refused ones.
+
+    Args:
+        state: State of the router.
+        forwarder: Sends packets on.
+        keeper: The exceptions held here.
+        ends: Removes records.
+
+    Attributes:
+        decider: Chooses servers.
+    """
+
+    __slots__ = ("_ends", "_forwarder", "_keeper", "_state", "decider")
+
+    def __init__(
+        self,
+        state: PlacementState,
+        forwarder: Forwarder,
+        keeper: ExceptionKeeper,
+        ends: FlowEnds,
+    ) -> None:
+        self._state = state
+        self._forwarder = forwarder
+        self._keeper = keeper
+        self._ends = ends
+        self.decider = Decider(state)
+
+    def open(
+        self, packet: FlowPacket, service: Service, record: FlowRecord | None
+    ) -> None:
+        """Handle an opening packet."""
+        state = self._state
+        now = state.now()
+        pending = state.opens.get(packet.key)
+        if pending is not None and pending.barrier is not None:
+            pending.packet = packet
+            self._forwarder.drop(packet, "open_held")
+            return
+        if record is not None and not self._keeps_server(record, now):
+            state.opens.remove(packet.key)
+            self._ends.forget(packet.key, packet.hash, record, now)
+            state.epoch += 1
+            record = None
+        certain = record is not None and not record.flags & FlowFlag.GUESSED
+        if not certain and self.defers(packet, service, now):
+            return
+        if record is None:
+            self._place(packet, service, now)
+            return
+        if not state.owns(service, packet.bucket):
+            self._keeper.tell_owner(packet.key, packet.hash, service, now)
+        if pending is None:
+            # The server may answer the new SYN with another sequence number.
+            state.records.put(packet.key, packet.hash, record._replace(isn=0))
+            pending = PendingOpen(packet, record.service, record.server, "record", now)
+            state.opens.add(packet.key, pending)
+        pending.packet = packet
+        if pending.refusals and pending.may_move(now):
+            if not self.move(pending, state.services[record.service], now):
+                self._forwarder.drop(packet, "no_backend_server")
+            return
+        if pending.sent + 1 == SILENT_AFTER_PACKETS:
+            self.note_refused(state.services[record.service], record.server, now)
+        self._send_open(pending, now, reason=record_reason(record))
+
+    def release(self, now: float) -> None:
+        """Send the opening packets on whose barrier is open."""
+        state = self._state
+        if not state.opens.held or state.suspect:
+            return
+        for key, pending in list(state.opens.held.items()):
+            if pending.barrier is None or pending.barrier.is_open(now):
+                del state.opens.held[key]
+                barrier, pending.barrier = pending.barrier, None
+                service = state.services[pending.service]
+                if state.owns(service, pending.packet.bucket) or state.leaving:
+                    self._send_open(pending, now)
+                else:
+                    if barrier is not None:
+                        barrier.cancel()
+                    self._give_up_held(pending, service, now)
+
+    def doubt_held(self) -> None:
+        """Doubt opens that no server has seen, since the view is suspect.
+
+        Another instance may have placed them meanwhile. The records stay, because
+        they agree with the copies that replicas hold, but count as guesses.
+        """
+        state = self._state
+        for key, pending in list(state.opens.held.items()):
+            state.opens.remove(key)
+            key_hash = pending.packet.hash
+            record = state.records.get(key, key_hash)
+            if record is not None:
+                flags = record.flags | FlowFlag.GUESSED
+                state.records.put(key, key_hash, record._replace(flags=flags))
+
+    def move(self, pending: PendingOpen, service: Service, now: float) -> bool:
+        """Place a refused open on another server; returns whether there is one."""
+        packet = pending.packet
+        service.load.ended(pending.server, packet.key)
+        choice = self.decider.choose(service, packet.bucket, now, exclude=pending.tried)
+        if choice is None:
+            return False
+        log_event(
+            _logger,
+            Event.FLOW_REPLACED,
+            flow=packet.key.hex(),
+            service=service.name,
+            refused_by=service.servers[pending.server].name,
+            server=service.servers[choice.number].name,
+        )
+        pending.place(choice.number, "retry")
+        self._put_open(pending, service, choice, now)
+        return True
+
+    def defers(self, packet: FlowPacket, service: Service, now: float) -> bool:
+        """Leave a packet of an unknown flow to others just after a takeover.
+
+        An exception is acknowledged by one replica before its opening packet is sent
+        on, and that is not always the one that takes the slice over. A member that
+        announced the bucket as dirty gets the packet, and relays it back when it does
+        not know the flow either. While the announcements of a member are missing,
+        the packet is dropped; the sender repeats it.
+        """
+        bucket = packet.bucket
+        if packet.hops >= 2 or service.settled(bucket, now):
+            return False
+        state = self._state
+        if state.policy != "exceptions":
+            return False
+        peers = state.peers_in_view()
+        holder = state.certificates.dirty_at(service.code(bucket), peers)
+        if holder is not None:
+            self._forwarder.relay(packet, holder)
+            return True
+        recent = not service.slices.settled(bucket, now)
+        if recent and not state.certificates.is_synced(now):
+            self._forwarder.drop(packet, "takeover")
+            return True
+        return False
+
+    def note_refused(self, service: Service, number: int, now: float) -> None:
+        """Note evidence against a server; logged when it is new."""
+        new = not service.evidence.refusing_ms(number, now)
+        delay = service.evidence.note_refused(number, now)
+        if new:
+            log_event(
+                _logger,
+                Event.SERVER_REFUSING,
+                service=service.name,
+                server=service.servers[number].name,
+                retry_in=f"{delay:.1f}",
+            )
+
+    def _keeps_server(self, record: FlowRecord, now: float) -> bool:
+        if record.flags & FlowFlag.ENDED:
+            return False
+        state = self._state
+        service = state.services[record.service]
+        if service.servers[record.server].zone in state.snapshot.zones_out:
+            return False
+        age = now - record.opened / TICKS_PER_SECOND
+        candidates = service.epochs.current.table.candidates
+        return age < REOPEN_SECONDS or record.server in candidates
+
+    def _place(self, packet: FlowPacket, service: Service, now: float) -> None:
+        if self._state.stale_opens:
+            self._forwarder.drop(packet, "stale_open")
+            return
+        choice = self.decider.choose(service, packet.bucket, now)
+        if choice is None:
+            if self.decider.settled(service, packet.bucket, now):
+                self._forwarder.refuse(packet, service)
+            else:
+                self._forwarder.drop(packet, "no_backend_server")
+            return
+        pending = PendingOpen(packet, service.index, choice.number, choice.reason, now)
+        self._ends.make_room(now)
+        self._put_open(pending, service, choice, now)
+        log_event(
+            _logger,
+            Event.FLOW_PLACED,
+            flow=packet.key.hex(),
+            service=service.name,
+            server=service.servers[choice.number].name,
+            reason=choice.reason,
+        )
+
+    def _put_open(
+        self, pending: PendingOpen, service: Service, choice: Choice, now: float
+    ) -> None:
+        """Record an open on a server and send its packet once it is allowed."""
+        state, packet = self._state, pending.packet
+        key, key_hash = packet.key, packet.hash
+        former = state.records.get(key, key_hash)
+        flags = former.flags & FlowFlag.EXCEPTION if former else 0
+        opened = int(now * TICKS_PER_SECOND)
+        state.records.put(
+            key, key_hash, FlowRecord(service.index, choice.number, flags, opened)
+        )
+        state.opens.add(key, pending)
+        service.load.opened(choice.number, key, now)
+        service.evidence.note_placed(choice.number, now)
+        default = service.epochs.is_default(packet.bucket, choice.number)
+        if default and state.policy != "replicated":
+            self._keeper.remove(key, key_hash, service, now)
+            pending.barrier = None
+        else:
+            pending.barrier = self._keeper.add(key, key_hash, service, now)
+            if pending.barrier is not None and not pending.barrier.is_open(now):
+                state.opens.held[key] = pending
+                return
+            pending.barrier = None
+        self._send_open(pending, now)
+
+    def _send_open(self, pending: PendingOpen, now: float, *, reason: str = "") -> None:
+        state = self._state
+        service = state.services[pending.service]
+        pending.note_sent(now)
+        text = reason or pending.reason
+        if not self._forwarder.to_server(pending.packet, service, pending.server, text):
+            self._ends.end(pending.packet, now)
+
+    def _give_up_held(self, pending: PendingOpen, service: Service, now: float) -> None:
+        """Drop an open of a slice that moved; the new owner gets the next SYN.
+
+        The SYN is not relayed, so that the replicas forget the exception first.
+        """
+        packet = pending.packet
+        self._state.opens.remove(packet.key)
+        service.load.ended(pending.server, packet.key)
+        self._keeper.forget_copy(packet.key, packet.hash, service, now)
+        self._forwarder.drop(packet, "slice_moved")
+
+
+def record_reason(record: FlowRecord) -> str:
+    """Return the reason of a forward by record, for the history."""
+    return "exception" if record.flags & FlowFlag.EXCEPTION else "record"
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -5,56 +5,55 @@
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.packet.flow_key import ACK, FIN, RST, SYN
 from magnoliaslip.placement.bucket_table import NO_SERVER
-from magnoliaslip.placement.decider import Choice, Decider
 from magnoliaslip.placement.exceptions import ExceptionKeeper
+from magnoliaslip.placement.flow_ends import FlowEnds
 from magnoliaslip.placement.flow_packet import FlowPacket
 from magnoliaslip.placement.forwarder import Forwarder
-from magnoliaslip.placement.hashing import flow_hash
-from magnoliaslip.placement.linger import LingerQueue
-from magnoliaslip.placement.opens import SILENT_AFTER_PACKETS, PendingOpen
+from magnoliaslip.placement.opener import Opener, record_reason
+from magnoliaslip.placement.opens import PendingOpen
 from magnoliaslip.placement.records import TICKS_PER_SECOND, FlowFlag, FlowRecord
 from magnoliaslip.placement.service import Service
-from magnoliaslip.placement.silence import SilenceWatch
 from magnoliaslip.placement.state import PlacementState
 
 SEQUENCE_MASK = 0xFFFFFFFF
-# No opening packet of the same connection is retransmitted after this long, so a
-# later one opens a new connection.
-REOPEN_SECONDS = 60.0
 
 _logger = getLogger(__name__)
 
 
 class Owner:
-    """Places flows and keeps their records.
+    """Keeps the records of flows and passes their packets on.
 
     Args:
         state: State of the router.
         forwarder: Sends packets on.
         keeper: The exceptions held here.
+
+    Attributes:
+        opener: Places opens.
     """
 
-    __slots__ = ("_decider", "_forwarder", "_keeper", "_silence", "_state", "linger")
+    __slots__ = ("_ends", "_forwarder", "_state", "opener")
 
     def __init__(
         self, state: PlacementState, forwarder: Forwarder, keeper: ExceptionKeeper
     ) -> None:
         self._state = state
         self._forwarder = forwarder
-        self._keeper = keeper
-        self._decider = Decider(state)
-        self._silence = SilenceWatch()
-        self.linger = LingerQueue()
+        self._ends = FlowEnds(state, keeper)
+        self.opener = Opener(state, forwarder, keeper, self._ends)
 
     def request(self, packet: FlowPacket, service: Service) -> None:
         """Handle a packet of the caller."""
         state = self._state
         record = state.records.get(packet.key, packet.hash)
         if packet.is_open:
-            self._open(packet, service, record)
+            self.opener.open(packet, service, record)
         elif record is None:
             self._unknown(packet, service)
-        else:
+        elif not (
+            record.flags & FlowFlag.GUESSED
+            and self.opener.defers(packet, service, state.now())
+        ):
             self._known(packet, record)
 
     def answer(self, packet: FlowPacket, service: Service) -> None:
@@ -68,164 +67,15 @@
             self._accepted(packet, record)
             return
         if record is not None:
-            self._note_fin(packet, record, FlowFlag.FIN_SERVER)
+            self._ends.note_fin(packet, record, FlowFlag.FIN_SERVER)
         self._forwarder.to_caller(packet)
 
-    def release(self, now: float) -> None:
-        """Send the opening packets on whose barrier is open."""
-        state = self._state
-        if not state.opens.held or state.suspect:
-            return
-        for key, pending in list(state.opens.held.items()):
-            if pending.barrier is None or pending.barrier.is_open(now):
-                del state.opens.held[key]
-                barrier, pending.barrier = pending.barrier, None
-                service = state.services[pending.service]
-                if state.owns(service, pending.packet.bucket) or state.leaving:
-                    self._send_open(pending, now)
-                else:
-                    if barrier is not None:
-                        barrier.cancel()
-                    self._hand_back(pending, service, now)
-
     def tick(self, now: float) -> None:
         """Forget what ended or took too long."""
         state = self._state
-        self.release(now)
+        self.opener.release(now)
         state.opens.expire(now)
-        for key in self.linger.due(now):
-            key_hash = flow_hash(key)
-            record = state.records.get(key, key_hash)
-            if record is not None and record.flags & FlowFlag.ENDED:
-                self._forget(key, key_hash, record, now)
-
-    def abandon_held(self, now: float) -> None:
-        """Give up opens that no server has seen, since the view is suspect.
-
-        Another instance may have placed them meanwhile, with the server of the
-        copies that replicas hold; these stay. The caller sends its SYN again.
-        """
-        for pending in list(self._state.opens.held.values()):
-            self._drop_held(pending, now)
-
-    def _open(
-        self, packet: FlowPacket, service: Service, record: FlowRecord | None
-    ) -> None:
-        state = self._state
-        now = state.now()
-        pending = state.opens.get(packet.key)
-        if pending is not None and pending.barrier is not None:
-            pending.packet = packet
-            self._forwarder.drop(packet, "open_held")
-            return
-        if record is not None and not self._keeps_server(record, now):
-            state.opens.remove(packet.key)
-            self._forget(packet.key, packet.hash, record, now)
-            state.epoch += 1
-            record = None
-        if record is None:
-            if not self._asks_holder(packet, service, now):
-                self._place(packet, service, now)
-            return
-        if pending is None:
-            # The server may answer the new SYN with another sequence number.
-            state.records.put(packet.key, packet.hash, record._replace(isn=0))
-            pending = PendingOpen(packet, record.service, record.server, "record", now)
-            state.opens.add(packet.key, pending)
-        pending.packet = packet
-        if pending.refusals and pending.may_move(now):
-            if not self._move(pending, state.services[record.service], now):
-                self._forwarder.drop(packet, "no_backend_server")
-            return
-        if pending.sent + 1 == SILENT_AFTER_PACKETS:
-            self._note_refused(state.services[record.service], record.server, now)
-        self._send_open(pending, now, reason=_reason(record))
-
-    def _keeps_server(self, record: FlowRecord, now: float) -> bool:
-        if record.flags & FlowFlag.ENDED:
-            return False
-        state = self._state
-        service = state.services[record.service]
-        if service.servers[record.server].zone in state.snapshot.zones_out:
-            return False
-        age = now - record.opened / TICKS_PER_SECOND
-        candidates = service.epochs.current.table.candidates
-        return age < REOPEN_SECONDS or record.server in candidates
-
-    def _place(self, packet: FlowPacket, service: Service, now: float) -> None:
-        if self._state.stale_opens:
-            self._forwarder.drop(packet, "stale_open")
-            return
-        choice = self._decider.choose(service, packet.bucket, now)
-        if choice is None:
-            if self._decider.settled(service, packet.bucket, now):
-                self._forwarder.refuse(packet, service)
-            else:
-                self._forwarder.drop(packet, "no_backend_server")
-            return
-        pending = PendingOpen(packet, service.index, choice.number, choice.reason, now)
-        self._make_room(now)
-        self._put_open(pending, service, choice, now)
-        log_event(
-            _logger,
-            Event.FLOW_PLACED,
-            flow=packet.key.hex(),
-            service=service.name,
-            server=service.servers[choice.number].name,
-            reason=choice.reason,
-        )
-
-    def _put_open(
-        self, pending: PendingOpen, service: Service, choice: Choice, now: float
-    ) -> None:
-        """Record an open on a server and send its packet once it is allowed."""
-        state, packet = self._state, pending.packet
-        key, key_hash = packet.key, packet.hash
-        former = state.records.get(key, key_hash)
-        flags = former.flags & FlowFlag.EXCEPTION if former else 0
-        opened = int(now * TICKS_PER_SECOND)
-        state.records.put(
-            key, key_hash, FlowRecord(service.index, choice.number, flags, opened)
-        )
-        state.opens.add(key, pending)
-        service.load.opened(choice.number, key, now)
-        service.evidence.note_placed(choice.number, now)
-        default = service.epochs.is_default(packet.bucket, choice.number)
-        if default and state.policy != "replicated":
-            self._keeper.remove(key, key_hash, service, now)
-            pending.barrier = None
-        else:
-            pending.barrier = self._keeper.add(key, key_hash, service, now)
-            if pending.barrier is not None and not pending.barrier.is_open(now):
-                state.opens.held[key] = pending
-                return
-            pending.barrier = None
-        self._send_open(pending, now)
-
-    def _send_open(self, pending: PendingOpen, now: float, *, reason: str = "") -> None:
-        state = self._state
-        service = state.services[pending.service]
-        pending.note_sent(now)
-        text = reason or pending.reason
-        if not self._forwarder.to_server(pending.packet, service, pending.server, text):
-            self._end(pending.packet, now)
-
-    def _hand_back(self, pending: PendingOpen, service: Service, now: float) -> None:
-        """Let the new owner place an open that no server has seen."""
-        packet = pending.packet
-        self._drop_held(pending, now)
-        owner = service.slices.owner(packet.bucket)
-        if owner is None:
-            self._forwarder.drop(packet, "not_a_member")
-        else:
-            self._forwarder.relay(packet, owner)
-
-    def _drop_held(self, pending: PendingOpen, now: float) -> None:
-        packet = pending.packet
-        service = self._state.services[pending.service]
-        self._state.opens.remove(packet.key)
-        service.load.ended(pending.server, packet.key)
-        self._keeper.forget_copy(packet.key, packet.hash, service, now)
+        self._ends.tick(now)
 
     def _known(self, packet: FlowPacket, record: FlowRecord) -> None:
         state = self._state
@@ -236,19 +86,19 @@
             self._forwarder.drop(packet, "open_held")
             return
         if not self._forwarder.to_server(
-            packet, service, record.server, _reason(record)
+            packet, service, record.server, record_reason(record)
         ):
-            self._end(packet, now)
+            self._ends.end(packet, now)
             return
         if packet.flags & RST:
-            self._end(packet, now)
+            self._ends.end(packet, now)
         elif packet.flags & FIN:
-            self._note_fin(packet, record, FlowFlag.FIN_CALLER)
+            self._ends.note_fin(packet, record, FlowFlag.FIN_CALLER)
         elif packet.payload and not record.flags & FlowFlag.PAYLOAD:
             flags = record.flags | FlowFlag.PAYLOAD
             state.records.put(packet.key, packet.hash, record._replace(flags=flags))
             state.opens.remove(packet.key)
-        if packet.payload and self._silence.note(packet.key, packet.seq, now):
+        if packet.payload and self._ends.silence.note(packet.key, packet.seq, now):
             state.counters["flows_silent"] += 1
             log_event(
                 _logger,
@@ -263,7 +113,7 @@
         state = self._state
         now = state.now()
         bucket = packet.bucket
-        if self._asks_holder(packet, service, now):
+        if self.opener.defers(packet, service, now):
             return
         moved = state.moved.get(packet.route_key)
         if moved is not None and now < moved[1]:
@@ -276,7 +126,7 @@
         reason = "default" if number == current else "base"
         sent = self._forwarder.to_server(packet, service, number, reason)
         if sent and not packet.flags & (FIN | RST):
-            self._make_room(now)
+            self._ends.make_room(now)
             flags = FlowFlag.ESTABLISHED | FlowFlag.GUESSED
             opened = int(now * TICKS_PER_SECOND)
             state.records.put(
@@ -285,24 +135,6 @@
                 FlowRecord(service.index, number, flags, opened),
             )
 
-    def _asks_holder(self, packet: FlowPacket, service: Service, now: float) -> bool:
-        """Relay a packet of an unknown flow to a member that may know it.
-
-        An exception is acknowledged by one replica before its opening packet is sent
-        on, and that is not always the one that takes the slice over. The member
-        relays the packet back when it does not know the flow either.
-        """
-        bucket = packet.bucket
-        if packet.hops >= 2 or service.settled(bucket, now):
-            return False
-        state = self._state
-        peers = state.peers_in_view()
-        holder = state.certificates.dirty_at(service.code(bucket), peers)
-        if holder is None:
-            return False
-        self._forwarder.relay(packet, holder)
-        return True
-
     def _accepted(self, packet: FlowPacket, record: FlowRecord | None) -> None:
         """Let the SYN-ACK of the flow's server pass, and no other."""
         state = self._state
@@ -344,7 +176,7 @@
                 self._refused(packet, pending, record, now)
                 return
         certain = record is not None and not record.flags & FlowFlag.GUESSED
-        if not certain and not self._decider.settled(service, packet.bucket, now):
+        if not certain and not self.opener.decider.settled(service, packet.bucket, now):
             self._forwarder.drop(packet, "uncertain_reset")
             return
         if record is not None:
@@ -353,7 +185,7 @@
                 holder = state.services[record.service]
                 if holder.evidence.note_unknown_reset(record.server, now):
                     self._start_cold(holder, record.server, now, Event.SERVER_COLD)
-            self._end(packet, now)
+            self._ends.end(packet, now)
         self._forwarder.to_caller(packet)
 
     def _refused(
@@ -366,9 +198,9 @@
             self._forwarder.drop(packet, "stale_reset")
             return
         pending.refusals += 1
-        self._note_refused(service, record.server, now)
+        self.opener.note_refused(service, record.server, now)
         if record.flags & (FlowFlag.ESTABLISHED | FlowFlag.PAYLOAD):
-            self._end(packet, now)
+            self._ends.end(packet, now)
             self._forwarder.to_caller(packet)
             return
         if not pending.may_move(now):
@@ -376,43 +208,10 @@
             # caller decides, when no answer can cross it.
             self._forwarder.drop(packet, "stale_reset")
             return
-        if not self._move(pending, service, now):
-            self._end(packet, now)
+        if not self.opener.move(pending, service, now):
+            self._ends.end(packet, now)
             self._forwarder.to_caller(packet)
 
-    def _move(self, pending: PendingOpen, service: Service, now: float) -> bool:
-        """Place a refused open on another server; returns whether there is one."""
-        packet = pending.packet
-        service.load.ended(pending.server, packet.key)
-        choice = self._decider.choose(
-            service, packet.bucket, now, exclude=pending.tried
-        )
-        if choice is None:
-            return False
-        log_event(
-            _logger,
-            Event.FLOW_REPLACED,
-            flow=packet.key.hex(),
-            service=service.name,
-            refused_by=service.servers[pending.server].name,
-            server=service.servers[choice.number].name,
-        )
-        pending.place(choice.number, "retry")
-        self._put_open(pending, service, choice, now)
-        return True
-
-    def _note_refused(self, service: Service, number: int, now: float) -> None:
-        new = not service.evidence.refusing_ms(number, now)
-        delay = service.evidence.note_refused(number, now)
-        if new:
-            log_event(
-                _logger,
-                Event.SERVER_REFUSING,
-                service=service.name,
-                server=service.servers[number].name,
-                retry_in=f"{delay:.1f}",
-            )
-
     def _start_cold(
         self, service: Service, number: int, now: float, event: Event
     ) -> None:
@@ -423,47 +222,3 @@
                 service=service.name,
                 server=service.servers[number].name,
             )
-
-    def _note_fin(self, packet: FlowPacket, record: FlowRecord, fin: int) -> None:
-        state = self._state
-        flags = record.flags | fin
-        both = FlowFlag.FIN_CALLER | FlowFlag.FIN_SERVER
-        service = state.services[record.service]
-        service.load.ended(record.server, packet.key)
-        if flags & both == both:
-            self._end(packet, state.now())
-        else:
-            state.records.put(packet.key, packet.hash, record._replace(flags=flags))
-
-    def _end(self, packet: FlowPacket, now: float) -> None:
-        """Mark a flow as ended; its record stays for late packets."""
-        state = self._state
-        state.opens.remove(packet.key)
-        self._silence.forget(packet.key)
-        record = state.records.get(packet.key, packet.hash)
-        if record is None:
-            return
-        state.services[record.service].load.ended(record.server, packet.key)
-        if not record.flags & FlowFlag.ENDED:
-            flags = record.flags | FlowFlag.ENDED
-            state.records.put(packet.key, packet.hash, record._replace(flags=flags))
-            self.linger.add(packet.key, now)
-
-    def _forget(
-        self, key: bytes, key_hash: int, record: FlowRecord, now: float
-    ) -> None:
-        service = self._state.services[record.service]
-        self._keeper.forget_record(key, key_hash, service, now)
-
-    def _make_room(self, now: float) -> None:
-        records = self._state.records
-        flow = records.overflow()
-        if flow is not None:
-            key, record = flow
-            self._forget(key, flow_hash(key), record, now)
-            records.evicted += 1
-            self._state.counters["records_evicted"] += 1
-
-
-def _reason(record: FlowRecord) -> str:
-    return "exception" if record.flags & FlowFlag.EXCEPTION else "record"
--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -69,7 +69,7 @@
         state = self._state
         peers = state.peers_in_view()
         state.certificates.set_required(peers, now)
-        for peer in state.logs.keys() - set(peers):
+        for peer in sorted(state.logs.keys() - set(peers)):
             self._used.pop(peer, None)
             self._used[peer] = state.logs.pop(peer).last_sequence
         while len(self._used) > MAX_FORMER_PEERS:
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -18,7 +18,7 @@
 from magnoliaslip.placement.base_window import BaseWindow
 from magnoliaslip.placement.bucket_table import BUCKET_MASK, NO_SERVER
 from magnoliaslip.placement.configuration import Configuration
-from magnoliaslip.placement.epochs import NOT_DIRECT
+from magnoliaslip.placement.direct_paths import DirectPaths
 from magnoliaslip.placement.exceptions import ExceptionKeeper
 from magnoliaslip.placement.explanation import Explanation, explain
 from magnoliaslip.placement.flow_packet import FlowPacket
@@ -28,7 +28,7 @@
 from magnoliaslip.placement.owner import Owner
 from magnoliaslip.placement.peer_exchange import PeerExchange
 from magnoliaslip.placement.records import FlowFlag
-from magnoliaslip.placement.service import CODE_SHIFT, Service
+from magnoliaslip.placement.service import Service
 from magnoliaslip.placement.settings import PlacementConfig
 from magnoliaslip.placement.slices import owning_members
 from magnoliaslip.placement.state import POLICIES, PlacementState
@@ -91,7 +91,7 @@
         self._exchange = PeerExchange(state, self._keeper, self._handover, self._window)
         self._configuration = Configuration(state, self._keeper, self._window)
         self._owner = Owner(state, self._forwarder, self._keeper)
-        self._deadline = 0.0
+        self._direct = DirectPaths(state, self._keeper)
         self._queue = SuspectQueue()
 
     @property
@@ -106,7 +106,7 @@
         It moves forward with each heartbeat without a change of `epoch`, so a cache
         reads it for each batch of packets. 0 when no answer may be kept.
         """
-        return self._deadline
+        return self._direct.deadline
 
     @property
     def suspect(self) -> bool:
@@ -185,11 +185,10 @@
             return None if number == NO_SERVER else service.servers[number].address
         if self.policy != "exceptions":
             return None
-        if self._is_clean(key, service, bucket):
-            number = service.epochs.direct(bucket)
-            if number < NOT_DIRECT:
-                return service.servers[number].address
-        return self._recorded(key, key_hash, service, bucket)
+        number = self._direct.server(key, service, bucket)
+        if number is not None:
+            return service.servers[number].address
+        return self._direct.recorded(key, key_hash, service, bucket)
 
     def apply_history(self, history: Sequence[HistoryEntry]) -> None:
         """Put a history in force.
@@ -223,7 +222,7 @@
         self._handover.view_changed(view, now)
         self._update_references()
         state.epoch += 1
-        self._refresh_deadline(now)
+        self._direct.refresh(now)
 
     def on_peer_message(self, sender: str, msg: PeerMessage) -> None:
         """Handle a control message of a peer.
@@ -240,8 +239,8 @@
             return
         if self._exchange.on_message(sender, msg, now):
             state.epoch += 1
-        self._refresh_deadline(now)
-        self._owner.release(now)
+        self._direct.refresh(now)
+        self._owner.opener.release(now)
 
     def fill_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
         """Add log positions, base version and loads to a heartbeat.
@@ -272,8 +271,8 @@
         self._exchange.on_heartbeat(peer, heartbeat, incarnation, now)
         if self._exchange.reported.get(peer) != former:
             self._update_references()
-        self._refresh_deadline(now)
-        self._owner.release(now)
+        self._direct.refresh(now)
+        self._owner.opener.release(now)
 
     def on_tick(self) -> None:
         """Do periodic work; called every 100 ms."""
@@ -289,7 +288,7 @@
         self._keeper.tick(now)
         self._handover.tick(now)
         self._exchange.tick(now)
-        self._refresh_deadline(now)
+        self._direct.refresh(now)
 
     def begin_leaving(self) -> None:
         """Stop owning slices and hand exceptions and young flows over."""
@@ -317,9 +316,9 @@
             state.suspect = True
             self._queue.start(now)
         state.certificates.void()
-        self._owner.abandon_held(now)
+        self._owner.opener.doubt_held()
         state.epoch += 1
-        self._refresh_deadline(now)
+        self._direct.refresh(now)
 
     def confirm_view(self) -> None:
         """Trust the view again and handle the packets that were held.
@@ -335,8 +334,8 @@
         # Another instance may have owned the slices meanwhile.
         for service in state.services:
             service.slices.restart_settling(state.now())
-        self._refresh_deadline(state.now())
-        self._owner.release(state.now())
+        self._direct.refresh(state.now())
+        self._owner.opener.release(state.now())
         waiting = self._queue.take()
         state.stale_opens = True
         for packet, direction, hops in waiting:
@@ -376,14 +375,10 @@
             self._owner.request(packet, service)
             return
         if not packet.goes_through_owner:
-            bucket = packet.bucket
-            if self.policy == "exceptions" and self._is_clean(
-                packet.key, service, bucket
-            ):
-                number = service.epochs.direct(bucket)
-                if number < NOT_DIRECT:
-                    self._forwarder.to_server(packet, service, number, "default")
-                    return
+            number = self._direct.server(packet.key, service, packet.bucket)
+            if number is not None:
+                self._forwarder.to_server(packet, service, number, "default")
+                return
             record = state.records.get(packet.key, packet.hash)
             if (
                 record is not None
@@ -423,31 +418,6 @@
         else:
             self._forwarder.relay(packet, owner)
 
-    def _is_clean(self, key: FlowKey, service: Service, bucket: int) -> bool:
-        """Return whether every member certifies that no exception is in a bucket."""
-        state = self._state
-        code = service.index << CODE_SHIFT | bucket
-        return (
-            state.now() < self._deadline
-            and not state.certificates.is_dirty(code)
-            and not self._keeper.is_dirty(code)
-            and (not state.moved or key[4:8] + key[10:12] not in state.moved)
-        )
-
-    def _recorded(
-        self, key: FlowKey, key_hash: int, service: Service, bucket: int
-    ) -> Address | None:
-        state = self._state
-        record = state.records.get(key, key_hash)
-        if record is None or not record.flags & FlowFlag.ESTABLISHED:
-            return None
-        if record.flags & FlowFlag.ENDED:
-            return None
-        if not record.flags & FlowFlag.EXCEPTION and not state.owns(service, bucket):
-            return None
-        server = state.services[record.service].servers[record.server]
-        return None if server.zone in state.snapshot.zones_out else server.address
-
     def _update_slices(self, now: float) -> None:
         state = self._state
         members = [
@@ -469,18 +439,3 @@
             ):
                 self._window.review(service)
                 state.epoch += 1
-
-    def _refresh_deadline(self, now: float) -> None:
-        """Take over until when certificates hold; a shorter time ends the epoch."""
-        state = self._state
-        if state.suspect or self.policy in ("owner", "replicated"):
-            deadline = 0.0
-        elif self.policy == "stateless":
-            deadline = float("inf")
-        else:
-            deadline = state.certificates.deadline()
-        if deadline <= now:
-            deadline = 0.0
-        if deadline < self._deadline:
-            state.epoch += 1
-        self._deadline = deadline
