--- /dev/null
+++ b/src/magnoliaslip/config/decoding.py
@@ -0,0 +1,80 @@
+"""Strict decoding of one published value, with errors that name the place."""
+
+from re import compile as compile_pattern
+from typing import NoReturn, TypeVar
+
+from msgspec import DecodeError, ValidationError
+from msgspec.json import Decoder
+
+from magnoliaslip.config.errors import (
+    MalformedValueError,
+    MissingKeyError,
+    OutOfRangeError,
+    OversizeValueError,
+    UnknownKeyError,
+    WrongTypeError,
+)
+from magnoliaslip.core.errors import ConfigError
+
+MAX_VALUE_BYTES = 1_000_000  # limit of the platform for one value
+
+# Messages of msgspec end in this form when the fault is below the root.
+_PLACE_PATTERN = compile_pattern(
+    r"^(?P<what>.*?) - at `(?:key in )?\$\.?(?P<path>.*)`$"
+)
+_FIELD_PATTERN = compile_pattern(r"field `(?P<field>[^`]*)`")
+_RANGE_PATTERN = compile_pattern(r"(>=|<=|of length|matching regex|Invalid enum|range)")
+
+T = TypeVar("T")
+
+
+def decode_value(key: str, data: bytes, decoder: Decoder[T]) -> T:
+    """Decode a published value.
+
+    Args:
+        key: Name of the value, for the place in errors.
+        data: JSON document.
+        decoder: Decoder of the type that the value has.
+
+    Raises:
+        ConfigError: The value is too large, malformed, or not of that type.
+    """
+    if len(data) > MAX_VALUE_BYTES:
+        raise OversizeValueError(
+            f"the value has {len(data)} bytes, the limit is {MAX_VALUE_BYTES}",
+            place=key,
+            remedy="move some services to another shard of the table",
+        )
+    try:
+        return decoder.decode(data)
+    except ValidationError as exc:
+        raise_validation_error(key, str(exc))
+    except (DecodeError, UnicodeDecodeError, RecursionError) as exc:
+        raise MalformedValueError(
+            f"the value is no JSON document ({exc})",
+            place=key,
+            remedy="publish the output of `magnoliaslip-ops render`",
+        ) from exc
+
+
+def raise_validation_error(key: str, message: str) -> NoReturn:
+    """Raise the `ConfigError` that a message of msgspec stands for."""
+    match = _PLACE_PATTERN.match(message)
+    what = match["what"] if match else message
+    path = match["path"] if match else ""
+    field = _FIELD_PATTERN.search(what)
+    error: type[ConfigError]
+    if "unknown field" in what and field:
+        path = f"{path}.{field['field']}".lstrip(".")
+        error, what = UnknownKeyError, f"key {field['field']!r} is unknown"
+        remedy = "remove the key or correct its spelling"
+    elif "missing required field" in what and field:
+        path = f"{path}.{field['field']}".lstrip(".")
+        error, what = MissingKeyError, f"key {field['field']!r} is missing"
+        remedy = "add the key"
+    elif _RANGE_PATTERN.search(what):
+        error, remedy = OutOfRangeError, "use a value inside the stated limits"
+    else:
+        error, remedy = WrongTypeError, "use a value of the stated type"
+    place = f"{key}: {path}" if path else key
+    raise error(what[0].lower() + what[1:], place=place, remedy=remedy)
--- /dev/null
+++ b/src/magnoliaslip/config/errors.py
@@ -0,0 +1,147 @@
+"""Errors of published tables and of settings, one code for each fault."""
+
+from magnoliaslip.core.errors import ConfigError, SettingsError, StaleConfigError
+
+
+class SettingsFileError(SettingsError):
+    """The settings file cannot be read."""
+
+    code = "MS101"
+
+
+class SettingsSyntaxError(SettingsError):
+    """The settings file is no JSON with comments."""
+
+    code = "MS102"
+
+
+class SettingsUnknownKeyError(SettingsError):
+    """The settings file has a key that no setting has."""
+
+    code = "MS103"
+
+
+class SettingsTypeError(SettingsError):
+    """A setting has a value of the wrong type."""
+
+    code = "MS104"
+
+
+class SettingsMissingKeyError(SettingsError):
+    """A setting without a default is not stated."""
+
+    code = "MS105"
+
+
+class SettingsDuplicateKeyError(SettingsError):
+    """A key stands twice in the same object."""
+
+    code = "MS106"
+
+
+class SettingsValueError(SettingsError):
+    """A setting has the right type and a value that cannot be used."""
+
+    code = "MS107"
+
+
+class MalformedValueError(ConfigError):
+    """A published value is no JSON document."""
+
+    code = "MS202"
+
+
+class UnknownKeyError(ConfigError):
+    """A published value has a key that its format does not have."""
+
+    code = "MS203"
+
+
+class WrongTypeError(ConfigError):
+    """A published value has an entry of the wrong type."""
+
+    code = "MS204"
+
+
+class DuplicateServiceError(ConfigError):
+    """A service has two pools."""
+
+    code = "MS205"
+
+
+class DanglingServiceError(ConfigError):
+    """A route names a service that has no pool."""
+
+    code = "MS206"
+
+
+class EmptyPoolError(ConfigError):
+    """A pool has no backend server."""
+
+    code = "MS207"
+
+
+class OverlappingRouteError(ConfigError):
+    """Two routes have the same address and port."""
+
+    code = "MS208"
+
+
+class OversizeValueError(ConfigError):
+    """A published value is larger than the platform's limit."""
+
+    code = "MS209"
+
+
+class BadAddressError(ConfigError):
+    """An address cannot be used where it stands."""
+
+    code = "MS210"
+
+
+class DuplicateServerError(ConfigError):
+    """Two backend servers of a pool have the same name."""
+
+    code = "MS211"
+
+
+class DuplicateServerAddressError(ConfigError):
+    """Two backend servers of a pool have the same address and port."""
+
+    code = "MS212"
+
+
+class UnknownZoneError(ConfigError):
+    """A backend server is in an availability zone that ``zones`` does not list."""
+
+    code = "MS213"
+
+
+class MissingValueError(ConfigError):
+    """A value that belongs to the set was not found."""
+
+    code = "MS214"
+
+
+class VersionMismatchError(StaleConfigError):
+    """A value has another version than the index names, as during a publication."""
+
+    code = "MS215"
+
+
+class ConflictingVersionError(ConfigError):
+    """A version was published twice with different content."""
+
+    code = "MS216"
+
+
+class MissingKeyError(ConfigError):
+    """A published value lacks a required key."""
+
+    code = "MS217"
+
+
+class OutOfRangeError(ConfigError):
+    """A number or text in a published value is outside its limits."""
+
+    code = "MS218"
--- /dev/null
+++ b/src/magnoliaslip/config/store.py
@@ -0,0 +1,361 @@
+"""The configuration in force and its history.
+
+>>> from magnoliaslip.core.clock import ManualClock
+>>> store = SnapshotStore(clock=ManualClock())
+>>> zones = b'{"version": 1, "zones": {"a": "out"}}'
+>>> index = b'{"version": 4, "values": {"zones": 1}}'
+>>> store.offer({"index": index, "zones": zones}).zones_out
+frozenset({'a'})
+>>> store.offer({"index": index, "zones": zones}) is None
+True
+"""
+
+from collections.abc import Callable, Iterable, Mapping
+from dataclasses import dataclass
+from logging import getLogger
+
+from magnoliaslip.config.errors import ConflictingVersionError
+from magnoliaslip.config.snapshot import HistoryEntry, Snapshot
+from magnoliaslip.config.tables import INDEX_KEY, TableSet, parse_index
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import ConfigError, StaleConfigError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+
+DEFAULT_HISTORY_WINDOW_S = 3600.0
+
+logger = getLogger(__name__)
+
+HistoryCallback = Callable[[tuple[HistoryEntry, ...]], None]
+
+
+@dataclass(slots=True, frozen=True)
+class PublishedSet:
+    """The values of one version as a peer holds them.
+
+    Attributes:
+        values: Published values by key, the index included.
+        since: Monotonic time in seconds, on the clock of this process, at which
+            the version came into force at the peer.
+    """
+
+    values: Mapping[str, bytes]
+    since: float
+
+
+@dataclass(slots=True)
+class _Entry:
+    tables: TableSet
+    snapshot: Snapshot
+    since: float
+
+
+class SnapshotStore:
+    """Holds the snapshot in force; versions only rise.
+
+    Args:
+        clock: Source of time.
+        history_window_s: Age in seconds beyond which versions are forgotten.
+        recorder: Receives a ``config`` record for each version put in force.
+    """
+
+    __slots__ = (
+        "_callbacks",
+        "_clock",
+        "_entries",
+        "_recorder",
+        "_reported",
+        "_window",
+    )
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        history_window_s: float = DEFAULT_HISTORY_WINDOW_S,
+        recorder: Recorder | None = None,
+    ) -> None:
+        self._clock = clock
+        self._window = history_window_s
+        self._recorder = recorder or NullRecorder()
+        self._entries: list[_Entry] = []
+        self._callbacks: list[HistoryCallback] = []
+        # Text of the last event of a rejection: the same faulty set is offered
+        # again at every poll and by every peer, and is logged once.
+        self._reported = ""
+
+    @property
+    def snapshot(self) -> Snapshot | None:
+        """The snapshot in force, or None before the first one."""
+        return self._entries[-1].snapshot if self._entries else None
+
+    @property
+    def version(self) -> int:
+        """The version in force, or 0 before the first one."""
+        return self._entries[-1].snapshot.version if self._entries else 0
+
+    @property
+    def history(self) -> tuple[HistoryEntry, ...]:
+        """The history, oldest first; the last entry is in force.
+
+        The first entry is the one that was in force one window ago.
+        """
+        return tuple(
+            HistoryEntry(entry.snapshot, entry.since)
+            for entry in self._entries[self._expired() :]
+        )
+
+    def values_of(self, version: int) -> dict[str, bytes] | None:
+        """Return the published values of a version, or None when not held."""
+        for entry in self._entries:
+            if entry.snapshot.version == version:
+                return entry.tables.values
+        return None
+
+    def subscribe(self, callback: HistoryCallback) -> None:
+        """Call back with the history after each change of it.
+
+        Args:
+            callback: Receives the history, oldest first; must not raise.
+        """
+        self._callbacks.append(callback)
+
+    def keys_to_read(self, index: bytes) -> tuple[str, ...]:
+        """Return the keys that differ between an index and the set in force.
+
+        `offer` fills in the others, so that a change of one shard costs one read.
+
+        Raises:
+            ConfigError: The index is invalid.
+        """
+        current = self.snapshot.values if self.snapshot else {}
+        named = parse_index(index).values
+        return tuple(key for key in named if named[key] != current.get(key))
+
+    def offer(
+        self, values: Mapping[str, bytes], *, since: float | None = None
+    ) -> Snapshot | None:
+        """Validate the set that ``index`` names, and put it in force if newer.
+
+        Args:
+            values: Published values by key. Those with the same version as in
+                force may be left out.
+            since: Monotonic time in seconds at which the set came into force
+                elsewhere; now by default.
+
+        Returns:
+            The snapshot now in force, or None when the set is not newer.
+
+        Raises:
+            ConfigError: The set is invalid; what is in force stays.
+        """
+        entry = self._checked_candidate(values, since)
+        if entry is None:
+            return None
+        self._put_in_force(entry)
+        self._notify()
+        return entry.snapshot
+
+    def merge_history(self, sets: Iterable[PublishedSet]) -> bool:
+        """Add versions that a peer had in force.
+
+        The newest set is offered if it is newer than what is in force. Older sets
+        only extend the history. Invalid sets are logged and left out.
+
+        Args:
+            sets: Versions of a peer, in any order.
+
+        Returns:
+            Whether the history changed.
+        """
+        changed = False
+        for entry in self._decode_sets(sets):
+            if entry.snapshot.version <= self.version:
+                changed |= self._insert(entry)
+                continue
+            try:
+                newer = self._checked_candidate(entry.tables.values, entry.since)
+            except ConfigError:
+                continue  # reported as a log event
+            if newer is not None:
+                self._put_in_force(newer)
+                changed = True
+        if changed:
+            self._order_times()
+            self._trim()
+            self._notify()
+        return changed
+
+    def expire(self) -> bool:
+        """Forget versions that left the window; to be called periodically.
+
+        Returns:
+            Whether the history changed.
+        """
+        changed = self._trim()
+        if changed:
+            self._notify()
+        return changed
+
+    def _decode_sets(self, sets: Iterable[PublishedSet]) -> list[_Entry]:
+        """Decode the valid sets, newest first."""
+        known = self._entries[-1].tables if self._entries else None
+        decoded = []
+        for published in sets:
+            try:
+                tables = TableSet.parse(published.values, known=known)
+                snapshot = tables.build_snapshot()
+            except ConfigError as exc:
+                self._report(Event.CONFIG_REJECTED, exc)
+                continue
+            decoded.append(_Entry(tables, snapshot, published.since))
+            known = tables
+        return sorted(decoded, key=lambda entry: -entry.snapshot.version)
+
+    def _checked_candidate(
+        self, values: Mapping[str, bytes], since: float | None
+    ) -> _Entry | None:
+        """Return the entry of a newer, valid set; reports each rejection."""
+        try:
+            return self._candidate(values, since)
+        except StaleConfigError as exc:
+            self._report(Event.CONFIG_STALE, exc)
+            raise
+        except ConfigError as exc:
+            self._report(Event.CONFIG_REJECTED, exc)
+            raise
+
+    def _candidate(
+        self, values: Mapping[str, bytes], since: float | None
+    ) -> _Entry | None:
+        """Return the entry of a set; None when it is not newer than in force."""
+        current = self._entries[-1] if self._entries else None
+        if INDEX_KEY in values and current is not None:
+            index = parse_index(values[INDEX_KEY])
+            if index.version < current.snapshot.version:
+                return None
+            if index.version == current.snapshot.version:
+                self._compare(values, current)
+                return None
+        tables = TableSet.parse(values, known=current.tables if current else None)
+        if current is not None:
+            _check_versions_rise(tables, current.tables)
+        now = self._clock.monotonic()
+        return _Entry(tables, tables.build_snapshot(), now if since is None else since)
+
+    def _compare(self, values: Mapping[str, bytes], current: _Entry) -> None:
+        """Report a set of the version in force that has other content."""
+        if all(
+            values.get(key, data) == data for key, data in current.tables.values.items()
+        ):
+            return
+        try:
+            snapshot = TableSet.parse(values, known=current.tables).build_snapshot()
+        except StaleConfigError:
+            return  # the platform has newer shards whose index is still to come
+        if snapshot != current.snapshot:
+            exc = ConflictingVersionError(
+                f"version {snapshot.version} is in force with other content",
+                place=f"{INDEX_KEY}: version",
+                remedy="publish the change with a risen version",
+            )
+            self._report(Event.CONFIG_CONFLICT, exc)
+
+    def _put_in_force(self, entry: _Entry) -> None:
+        self._entries.append(entry)
+        self._order_times()
+        self._trim()
+        self._reported = ""
+        version = entry.snapshot.version
+        zones_out = sorted(entry.snapshot.zones_out)
+        log_event(
+            logger,
+            Event.CONFIG_IN_FORCE,
+            version=version,
+            zones_out=",".join(zones_out),
+        )
+        self._recorder.record("config", version=version, zones_out=zones_out)
+
+    def _insert(self, entry: _Entry) -> bool:
+        """Add a version to the history; return whether that changed it.
+
+        Of a version that is held already, the earlier time counts: it came into
+        force when the first instance put it in force.
+        """
+        for position, held in enumerate(self._entries):
+            if held.snapshot.version == entry.snapshot.version:
+                if held.snapshot != entry.snapshot:
+                    self._compare(entry.tables.values, held)
+                    return False
+                if entry.since >= held.since:
+                    return False
+                held.since = entry.since
+                return True
+            if held.snapshot.version > entry.snapshot.version:
+                # Older than the one that was in force one window ago.
+                if position == 0 and held.since <= self._horizon():
+                    return False
+                self._entries.insert(position, entry)
+                return True
+        return False
+
+    def _order_times(self) -> None:
+        """Make the times rise with the versions, as messages arrive unevenly."""
+        latest = self._clock.monotonic()
+        for entry in reversed(self._entries):
+            entry.since = latest = min(entry.since, latest)
+
+    def _horizon(self) -> float:
+        return self._clock.monotonic() - self._window
+
+    def _expired(self) -> int:
+        """Count the entries that were replaced more than one window ago."""
+        horizon = self._horizon()
+        expired = 0
+        while (
+            expired + 1 < len(self._entries)
+            and self._entries[expired + 1].since <= horizon
+        ):
+            expired += 1
+        return expired
+
+    def _trim(self) -> bool:
+        expired = self._expired()
+        del self._entries[:expired]
+        return expired > 0
+
+    def _notify(self) -> None:
+        history = self.history
+        for callback in self._callbacks:
+            callback(history)
+
+    def _report(self, event: Event, exc: ConfigError) -> None:
+        text = str(exc)
+        if text != self._reported:
+            self._reported = text
+            log_event(logger, event, code=exc.code, place=repr(exc.place), error=text)
+
+
+def _check_versions_rise(tables: TableSet, current: TableSet) -> None:
+    """Refuse a set with a table that is older than, or unlike, the one in force.
+
+    Raises:
+        StaleConfigError: The version of a table went down.
+        ConflictingVersionError: A table changed and its version did not.
+    """
+    for key, table in tables.tables.items():
+        held = current.tables.get(key)
+        if held is None or held is table:
+            continue
+        if table.version < held.version:
+            raise StaleConfigError(
+                f"version {table.version} is older than {held.version} in force",
+                place=f"{key}: version",
+                remedy="publish the table with a risen version",
+            )
+        if table.version == held.version and not table.equals(held):
+            raise ConflictingVersionError(
+                f"version {table.version} is in force with other content",
+                place=f"{key}: version",
+                remedy="publish the change with a risen version",
+            )
--- /dev/null
+++ b/src/magnoliaslip/config/tables.py
@@ -0,0 +1,376 @@
+"""Published tables: the format of each value and the checks across values.
+
+>>> values = {
+...     "index": b'{"version": 1, "values": {"zones": 1}}',
+...     "zones": b'{"version": 1, "zones": {"a": "in", "b": "out"}}',
+... }
+>>> TableSet.parse(values).build_snapshot().zones_out
+frozenset({'b'})
+"""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+from ipaddress import AddressValueError, IPv4Address
+from re import compile as compile_pattern
+from typing import Annotated, Literal, Self
+
+from msgspec import Meta, Struct
+from msgspec.json import Decoder
+
+from magnoliaslip.config.decoding import decode_value
+from magnoliaslip.config.errors import (
+    BadAddressError,
+    DanglingServiceError,
+    DuplicateServerAddressError,
+    DuplicateServerError,
+    DuplicateServiceError,
+    EmptyPoolError,
+    MissingValueError,
+    OverlappingRouteError,
+    UnknownKeyError,
+    UnknownZoneError,
+    VersionMismatchError,
+)
+from magnoliaslip.config.snapshot import BackendServer, Pool, Route, Snapshot
+from magnoliaslip.core.address import Address
+
+INDEX_KEY = "index"
+ZONES_KEY = "zones"
+MAX_NAME_LENGTH = 100
+MAX_VERSION = 2**63 - 1  # versions travel as 64-bit integers between instances
+MAX_STATED = 1_000_000  # slots or connections of one backend server
+
+_SHARD_PATTERN = compile_pattern(r"(routes|pools)/[A-Za-z0-9._-]{1,100}")
+
+Name = Annotated[str, Meta(min_length=1, max_length=MAX_NAME_LENGTH)]
+Version = Annotated[int, Meta(ge=1, le=MAX_VERSION)]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Stated = Annotated[int, Meta(ge=0, le=MAX_STATED)]
+
+
+class IndexValue(Struct, forbid_unknown_fields=True, frozen=True):
+    """The ``index`` value: which version of which value makes up the set."""
+
+    version: Version
+    values: dict[str, Version]
+
+
+class RouteLine(Struct, forbid_unknown_fields=True, frozen=True):
+    """One route as published."""
+
+    address: str
+    port: Port
+    service: Name
+
+
+class RoutesValue(Struct, forbid_unknown_fields=True, frozen=True):
+    """A ``routes/<k>`` value."""
+
+    version: Version
+    routes: list[RouteLine]
+
+
+class ServerLine(Struct, forbid_unknown_fields=True, frozen=True):
+    """One backend server as published."""
+
+    name: Name
+    address: str
+    port: Port
+    zone: Name
+    slots: Stated = 0
+    connections: Stated = 0
+    drain: bool = False
+
+
+class PoolLine(Struct, forbid_unknown_fields=True, frozen=True):
+    """One pool as published."""
+
+    service: Name
+    servers: list[ServerLine]
+
+
+class PoolsValue(Struct, forbid_unknown_fields=True, frozen=True):
+    """A ``pools/<k>`` value."""
+
+    version: Version
+    pools: list[PoolLine]
+
+
+class ZonesValue(Struct, forbid_unknown_fields=True, frozen=True):
+    """The ``zones`` value."""
+
+    version: Version
+    zones: dict[Name, Literal["in", "out"]]
+
+
+_INDEX_DECODER = Decoder(IndexValue)
+_ZONES_DECODER = Decoder(ZonesValue)
+_ROUTES_DECODER = Decoder(RoutesValue)
+_POOLS_DECODER = Decoder(PoolsValue)
+
+
+@dataclass(slots=True, frozen=True)
+class Table:
+    """One decoded value and the bytes that it came from.
+
+    Attributes:
+        key: Name of the value.
+        version: Its version.
+        data: JSON document as published.
+        routes: Routes of a ``routes/<k>`` value.
+        pools: Pools of a ``pools/<k>`` value.
+        zones: Whether each availability zone is in, of the ``zones`` value.
+    """
+
+    key: str
+    version: int
+    data: bytes
+    routes: tuple[Route, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    zones: tuple[tuple[str, bool], ...] = ()
+
+    @classmethod
+    def parse(cls, key: str, data: bytes) -> Self:
+        """Decode a value and check what can be checked without the others.
+
+        Raises:
+            ConfigError: The value is invalid.
+        """
+        if key == ZONES_KEY:
+            zones = decode_value(key, data, _ZONES_DECODER)
+            states = sorted(zones.zones.items())
+            in_service = tuple((zone, state == "in") for zone, state in states)
+            return cls(key, zones.version, data, zones=in_service)
+        if key.startswith("routes/"):
+            table = decode_value(key, data, _ROUTES_DECODER)
+            routes = tuple(
+                Route(_address(line, f"{key}: routes[{n}]"), line.service)
+                for n, line in enumerate(table.routes)
+            )
+            return cls(key, table.version, data, routes=routes)
+        shard = decode_value(key, data, _POOLS_DECODER)
+        pools = tuple(
+            _pool(line, shard.version, f"{key}: pools[{n}]")
+            for n, line in enumerate(shard.pools)
+        )
+        return cls(key, shard.version, data, pools=pools)
+
+    def equals(self, other: "Table") -> bool:
+        """Return whether both state the same, whatever their layout."""
+        return (self.version, self.routes, self.pools, self.zones) == (
+            other.version,
+            other.routes,
+            other.pools,
+            other.zones,
+        )
+
+
+@dataclass(slots=True, frozen=True)
+class TableSet:
+    """All values that one version of the index names.
+
+    Attributes:
+        version: Version of the index.
+        index: The ``index`` value as published.
+        tables: Decoded values by key, in the order of their keys.
+    """
+
+    version: int
+    index: bytes
+    tables: dict[str, Table]
+
+    @classmethod
+    def parse(
+        cls, values: Mapping[str, bytes], *, known: "TableSet | None" = None
+    ) -> Self:
+        """Decode the set that ``values["index"]`` names.
+
+        Args:
+            values: Published values by key. Values that the index does not name
+                are ignored.
+            known: A set whose tables stand in for values that are left out and
+                unchanged; equal values share memory with it.
+
+        Raises:
+            ConfigError: A value is missing or invalid.
+        """
+        if INDEX_KEY not in values:
+            raise MissingValueError(
+                "the value was not found",
+                place=INDEX_KEY,
+                remedy="publish an index that names the tables",
+            )
+        index = parse_index(values[INDEX_KEY])
+        tables = {}
+        for key, version in sorted(index.values.items()):
+            table = known.tables.get(key) if known else None
+            data = values.get(key)
+            if data is None and (table is None or table.version != version):
+                raise MissingValueError(
+                    f"version {version} is named by the index and was not found",
+                    place=key,
+                    remedy="publish the value, then the index",
+                )
+            if table is None or (data is not None and table.data != data):
+                table = Table.parse(key, data or b"")
+            if table.version != version:
+                raise VersionMismatchError(
+                    f"the value has version {table.version}, the index names {version}",
+                    place=f"{key}: version",
+                    remedy="publish an index that names the published versions",
+                )
+            tables[key] = table
+        return cls(index.version, values[INDEX_KEY], tables)
+
+    @property
+    def values(self) -> dict[str, bytes]:
+        """The published values by key, the index included."""
+        values = {key: table.data for key, table in self.tables.items()}
+        return {INDEX_KEY: self.index, **values}
+
+    def build_snapshot(self) -> Snapshot:
+        """Check the tables against each other and build the snapshot.
+
+        Raises:
+            ConfigError: The tables contradict each other.
+        """
+        zones = dict(self.tables[ZONES_KEY].zones)
+        pools: dict[str, Pool] = {}
+        for place, pool in self._pools():
+            if pool.service in pools:
+                raise DuplicateServiceError(
+                    f"service {pool.service!r} has a pool already",
+                    place=f"{place}.service",
+                    remedy="merge the pools of the service into one",
+                )
+            _check_zones(pool, zones, place)
+            pools[pool.service] = pool
+        return Snapshot(
+            version=self.version,
+            routes=self._checked_routes(pools),
+            pools=pools,
+            zones_out=frozenset(zone for zone, is_in in zones.items() if not is_in),
+            values={key: table.version for key, table in self.tables.items()},
+        )
+
+    def _pools(self) -> Iterator[tuple[str, Pool]]:
+        for key, table in self.tables.items():
+            for n, pool in enumerate(table.pools):
+                yield f"{key}: pools[{n}]", pool
+
+    def _checked_routes(self, pools: Mapping[str, Pool]) -> dict[Address, Route]:
+        routes: dict[Address, Route] = {}
+        for key, table in self.tables.items():
+            for n, route in enumerate(table.routes):
+                place = f"{key}: routes[{n}]"
+                if route.address in routes:
+                    raise OverlappingRouteError(
+                        f"address {route.address} has a route already, to service "
+                        f"{routes[route.address].service!r}",
+                        place=f"{place}.address",
+                        remedy="remove one of the two routes",
+                    )
+                if route.service not in pools:
+                    raise DanglingServiceError(
+                        f"service {route.service!r} has no pool",
+                        place=f"{place}.service",
+                        remedy="add a pool for the service or remove the route",
+                    )
+                routes[route.address] = route
+        return routes
+
+
+def parse_index(data: bytes) -> IndexValue:
+    """Decode the ``index`` value and check the keys that it names.
+
+    Raises:
+        ConfigError: The value is invalid.
+    """
+    index = decode_value(INDEX_KEY, data, _INDEX_DECODER)
+    for key in index.values:
+        if key != ZONES_KEY and not _SHARD_PATTERN.fullmatch(key):
+            raise UnknownKeyError(
+                f"key {key!r} names no table",
+                place=f"{INDEX_KEY}: values[{key!r}]",
+                remedy="use routes/<shard>, pools/<shard> and zones",
+            )
+    if ZONES_KEY not in index.values:
+        raise MissingValueError(
+            "the index does not name the availability zones",
+            place=f"{INDEX_KEY}: values",
+            remedy="publish zones and name its version in the index",
+        )
+    return index
+
+
+def _address(line: RouteLine | ServerLine, place: str) -> Address:
+    """Return the address of a line.
+
+    IPv6 is refused: the data path of this version drops it, so a table that names
+    it would be accepted and serve nobody.
+    """
+    try:
+        host = IPv4Address(line.address)
+    except AddressValueError as exc:
+        raise BadAddressError(
+            f"{line.address!r} is no IPv4 address",
+            place=f"{place}.address",
+            remedy="use an IPv4 address such as 198.51.100.10",
+        ) from exc
+    if host.is_unspecified or host.is_multicast:
+        raise BadAddressError(
+            f"{line.address} is not the address of one host",
+            place=f"{place}.address",
+            remedy="use the unicast address of a host",
+        )
+    return Address(str(host), line.port)
+
+
+def _pool(line: PoolLine, version: int, place: str) -> Pool:
+    if not line.servers:
+        raise EmptyPoolError(
+            f"the pool of service {line.service!r} has no backend server",
+            place=f"{place}.servers",
+            remedy="add a backend server, or remove the pool and its routes",
+        )
+    names: set[str] = set()
+    addresses: dict[Address, str] = {}
+    servers = []
+    for n, server in enumerate(line.servers):
+        server_place = f"{place}.servers[{n}]"
+        address = _address(server, server_place)
+        if server.name in names:
+            raise DuplicateServerError(
+                f"backend server {server.name!r} is in the pool already",
+                place=f"{server_place}.name",
+                remedy="give each backend server of the pool its own name",
+            )
+        if address in addresses:
+            raise DuplicateServerAddressError(
+                f"address {address} belongs to {addresses[address]!r} already",
+                place=f"{server_place}.address",
+                remedy="give each backend server of the pool its own address",
+            )
+        names.add(server.name)
+        addresses[address] = server.name
+        servers.append(
+            BackendServer(
+                server.name,
+                address,
+                server.zone,
+                server.slots,
+                server.connections,
+                server.drain,
+            )
+        )
+    return Pool(line.service, version, tuple(servers))
+
+
+def _check_zones(pool: Pool, zones: Mapping[str, bool], place: str) -> None:
+    for n, server in enumerate(pool.servers):
+        if server.zone not in zones:
+            raise UnknownZoneError(
+                f"availability zone {server.zone!r} is not listed in zones",
+                place=f"{place}.servers[{n}].zone",
+                remedy="add the availability zone to zones or correct its name",
+            )
