Add the platform client and instance settings

Instances need to read and watch the platform and to check their settings before they start.

HttpPlatform speaks HTTP/1.1 through h11 over anyio streams, one connection for each request, so that a connection that went silent is never used again; keep-alive was ruled out for that reason. Settings are JSON with comments.

--- /dev/null
+++ b/src/magnoliaslip/config/http_platform.py
@@ -0,0 +1,201 @@
+"""The platform over HTTP/1.1."""
+
+from collections.abc import Awaitable, Callable, Sequence
+from dataclasses import dataclass, field
+from urllib.parse import quote
+
+from anyio import EndOfStream, connect_tcp, fail_after, sleep
+from anyio.abc import ByteStream
+from h11 import (
+    CLIENT,
+    NEED_DATA,
+    PAUSED,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    InformationalResponse,
+    ProtocolError,
+    Request,
+    Response,
+)
+
+from magnoliaslip.config.decoding import MAX_VALUE_BYTES
+from magnoliaslip.config.platform import Platform, PlatformValue
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock, SystemClock
+from magnoliaslip.core.errors import PlatformError
+
+READ_TIMEOUT_S = 2.0
+WATCH_GRACE_S = 2.0  # a watch that is silent this long past its deadline is dead
+ABSENT_PAUSE_S = 1.0  # a watch of a key that does not exist is answered at once
+RECEIVE_BYTES = 65536
+# Larger values are cut off here; the check of tables refuses what is above the limit.
+MAX_BODY_BYTES = MAX_VALUE_BYTES + 1
+
+Connect = Callable[[str, int], Awaitable[ByteStream]]
+
+
+@dataclass(slots=True)
+class _Answer:
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytearray = field(default_factory=bytearray)
+
+
+class HttpPlatform(Platform):
+    """Reads values from one of several addresses of the platform.
+
+    Each request has its own connection, so that a connection that went silent is
+    never used again. The address that answered last is tried first.
+
+    Args:
+        addresses: Addresses of the platform, at least one.
+        clock: Source of time for watch deadlines.
+        read_timeout_s: Time in seconds for a read, over all addresses.
+        watch_grace_s: Time in seconds after the deadline of a watch.
+        connect: Opens a byte stream to a host and port.
+    """
+
+    __slots__ = ("_addresses", "_clock", "_connect", "_read_timeout", "_watch_grace")
+
+    def __init__(
+        self,
+        addresses: Sequence[Address],
+        *,
+        clock: Clock | None = None,
+        read_timeout_s: float = READ_TIMEOUT_S,
+        watch_grace_s: float = WATCH_GRACE_S,
+        connect: Connect = connect_tcp,
+    ) -> None:
+        self._addresses = list(addresses)
+        self._clock = clock or SystemClock()
+        self._read_timeout = read_timeout_s
+        self._watch_grace = watch_grace_s
+        self._connect = connect
+
+    async def read(self, key: str) -> PlatformValue | None:
+        """Return a value, or None when the key does not exist.
+
+        Raises:
+            PlatformError: No address answered within the read timeout.
+        """
+        target = f"/v1/values/{quote(key)}"
+        deadline = self._clock.monotonic() + self._read_timeout
+        answer = await self._ask(target, deadline=deadline, share=True)
+        return None if answer.status == 404 else _value(key, answer)
+
+    async def watch(
+        self, key: str, *, after: int, deadline: float
+    ) -> PlatformValue | None:
+        """Wait until a value is newer than ``after``.
+
+        Args:
+            key: Name of the value.
+            after: Modification counter that the caller has.
+            deadline: Monotonic time in seconds at which to give up waiting.
+
+        Returns:
+            The newer value, or None when the deadline passed without one.
+
+        Raises:
+            PlatformError: No answer came within the grace after the deadline.
+        """
+        wait_ms = max(0, round((deadline - self._clock.monotonic()) * 1000))
+        target = f"/v1/values/{quote(key)}?after={after}&wait_ms={wait_ms}"
+        answer = await self._ask(
+            target, deadline=deadline + self._watch_grace, share=False
+        )
+        if answer.status == 404:
+            remaining = deadline - self._clock.monotonic()
+            await sleep(min(ABSENT_PAUSE_S, max(0.0, remaining)))
+        return None if answer.status in (304, 404) else _value(key, answer)
+
+    async def _ask(self, target: str, *, deadline: float, share: bool) -> _Answer:
+        """Ask the addresses in turn until one answers.
+
+        Args:
+            target: Path and query of the request.
+            deadline: Monotonic time in seconds at which the last address fails.
+            share: Whether each address gets an equal part of the remaining time;
+                otherwise only an address that fails early leaves time to the next.
+        """
+        error: PlatformError | None = None
+        for left in range(len(self._addresses), 0, -1):
+            remaining = max(0.0, deadline - self._clock.monotonic())
+            timeout = remaining / left if share else remaining
+            address = self._addresses[0]
+            try:
+                with fail_after(timeout):
+                    return await self._exchange(address, target)
+            except TimeoutError:
+                error = _error(address, f"no answer to {target} in {timeout:.1f} s")
+            except (OSError, ProtocolError) as exc:
+                error = _error(address, f"request of {target} failed: {exc}")
+            except PlatformError as exc:
+                error = exc
+            self._addresses.append(self._addresses.pop(0))
+        raise error or PlatformError(
+            "no address is known",
+            place="platform",
+            remedy="state the addresses of the platform in the settings",
+        )
+
+    async def _exchange(self, address: Address, target: str) -> _Answer:
+        conn = Connection(CLIENT)
+        request = Request(
+            method="GET",
+            target=target,
+            headers=[
+                ("Host", str(address)),
+                ("Accept", "application/json"),
+                ("Connection", "close"),
+            ],
+        )
+        async with await self._connect(address.host, address.port) as stream:
+            await stream.send(conn.send(request) + conn.send(EndOfMessage()))
+            answer = await _receive(conn, stream)
+        if answer.status not in (200, 304, 404):
+            raise _error(address, f"{target} was answered with status {answer.status}")
+        return answer
+
+
+async def _receive(conn: Connection, stream: ByteStream) -> _Answer:
+    answer = _Answer(0, {})
+    while True:
+        event = conn.next_event()
+        if event is NEED_DATA:
+            try:
+                conn.receive_data(await stream.receive(RECEIVE_BYTES))
+            except EndOfStream:
+                conn.receive_data(b"")
+        elif isinstance(event, Response):
+            answer = _Answer(event.status_code, dict(event.headers))
+        elif isinstance(event, Data):
+            answer.body += event.data
+            if len(answer.body) > MAX_BODY_BYTES:
+                del answer.body[MAX_BODY_BYTES:]
+                return answer
+        elif isinstance(event, (EndOfMessage, ConnectionClosed)) or event is PAUSED:
+            return answer
+        elif not isinstance(event, InformationalResponse):
+            raise ProtocolError(f"unexpected {type(event).__name__}")
+
+
+def _value(key: str, answer: _Answer) -> PlatformValue:
+    index = answer.headers.get(b"x-index", b"")
+    if answer.status != 200 or not index.isdigit():
+        raise PlatformError(
+            f"the answer has status {answer.status} and no valid X-Index header",
+            place=key,
+            remedy="check that the address is that of the platform",
+        )
+    return PlatformValue(key, bytes(answer.body), int(index))
+
+
+def _error(address: Address, message: str) -> PlatformError:
+    return PlatformError(
+        message,
+        place=f"platform {address}",
+        remedy="check that the platform runs and that its address is reachable",
+    )
--- /dev/null
+++ b/src/magnoliaslip/config/jsonc.py
@@ -0,0 +1,128 @@
+"""Files in JSON with comments, read by ``json5``.
+
+>>> document = JsoncDocument("lab.jsonc", '{// comment\\n "id": "i1"}')
+>>> document.value
+{'id': 'i1'}
+>>> document.place("id")
+'lab.jsonc:2: id'
+"""
+
+from json import loads as loads_json
+from pathlib import Path
+from re import DOTALL, Match, escape
+from re import compile as compile_pattern
+from re import search as search_pattern
+from typing import Any, Self
+
+from json5 import loads as loads_json5
+
+from magnoliaslip.config.errors import (
+    SettingsDuplicateKeyError,
+    SettingsFileError,
+    SettingsSyntaxError,
+)
+
+MAX_FILE_BYTES = 64_000_000
+
+_TOKEN_PATTERN = compile_pattern(
+    r"""(?P<text>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')|//[^\n]*|/\*.*?\*/""", DOTALL
+)
+_SYNTAX_PATTERN = compile_pattern(r"^<string>:(?P<line>\d+) (?P<what>.*)$")
+
+
+class JsoncDocument:
+    """A decoded document that knows the lines of its keys.
+
+    Args:
+        name: Name of the file, for places in errors.
+        text: The document.
+
+    Raises:
+        SettingsSyntaxError: The text is no JSON with comments.
+        SettingsDuplicateKeyError: A key stands twice in an object.
+    """
+
+    __slots__ = ("_text", "name", "value")
+
+    def __init__(self, name: str, text: str) -> None:
+        self.name = name
+        self._text = text
+        self.value: Any = self._decode()
+
+    @classmethod
+    def load(cls, path: Path) -> Self:
+        """Read and decode a file.
+
+        Raises:
+            SettingsError: The file cannot be read or decoded.
+        """
+        try:
+            if path.stat().st_size > MAX_FILE_BYTES:
+                raise OSError(f"the file is larger than {MAX_FILE_BYTES} bytes")
+            text = path.read_text(encoding="utf-8")
+        except (OSError, UnicodeDecodeError) as exc:
+            raise SettingsFileError(
+                f"the file cannot be read: {exc}",
+                place=str(path),
+                remedy="check the path and its permissions; the encoding is UTF-8",
+            ) from exc
+        return cls(str(path), text)
+
+    def place(self, path: str) -> str:
+        """Return the file, line and path of a key.
+
+        Args:
+            path: Path such as ``pools[0].servers[1].zone``. The line is that of
+                the last key of the path, and left out unless the key stands in
+                the file exactly once.
+        """
+        key = search_pattern(r"([^.\[\]]+)(\[[^\]]*\])*$", path)
+        lines = self._lines(key[1]) if key else []
+        line = f":{lines[0]}" if len(lines) == 1 else ""
+        return f"{self.name}{line}: {path}" if path else self.name
+
+    def _lines(self, key: str) -> list[int]:
+        text = _TOKEN_PATTERN.sub(_blank_comment, self._text)
+        pattern = rf"""(?<![\w$])["']?{escape(key)}["']?\s*:"""
+        starts = [match.start() for match in compile_pattern(pattern).finditer(text)]
+        return [text.count("\n", 0, start) + 1 for start in starts]
+
+    def _decode(self) -> Any:
+        try:
+            # The standard decoder is several hundred times as fast on large tables.
+            return loads_json(self._text, object_pairs_hook=_unique_pairs)
+        except SettingsDuplicateKeyError as exc:
+            exc.place = self.place(exc.place)
+            raise
+        except (ValueError, RecursionError):
+            pass  # not strict JSON; json5 judges it and words the error
+        try:
+            return loads_json5(self._text, object_pairs_hook=_unique_pairs)
+        except SettingsDuplicateKeyError as exc:
+            exc.place = self.place(exc.place)
+            raise
+        except (ValueError, RecursionError) as exc:
+            match = _SYNTAX_PATTERN.match(str(exc))
+            raise SettingsSyntaxError(
+                match["what"] if match else str(exc),
+                place=f"{self.name}:{match['line']}" if match else self.name,
+                remedy="correct the JSON syntax; comments are // and /* */",
+            ) from exc
+
+
+def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
+    unique = dict(pairs)
+    if len(unique) != len(pairs):
+        keys = [key for key, _ in pairs]
+        key = next(key for key in keys if keys.count(key) > 1)
+        raise SettingsDuplicateKeyError(
+            f"key {key!r} stands twice in the same object",
+            place=key,
+            remedy="remove one of the two",
+        )
+    return unique
+
+
+def _blank_comment(match: Match[str]) -> str:
+    """Replace a comment by its line breaks, and leave strings as they are."""
+    return match["text"] or "\n" * match[0].count("\n")
--- /dev/null
+++ b/src/magnoliaslip/config/settings.py
@@ -0,0 +1,172 @@
+"""Settings of an instance, checked in full before it starts."""
+
+from dataclasses import dataclass
+from ipaddress import IPv4Network, IPv6Network, ip_network
+from pathlib import Path
+from typing import Annotated, Literal, NoReturn, Self, TypeVar
+
+from msgspec import Meta, Struct, ValidationError, convert
+
+from magnoliaslip.config.decoding import raise_validation_error
+from magnoliaslip.config.errors import (
+    MissingKeyError,
+    OutOfRangeError,
+    SettingsMissingKeyError,
+    SettingsTypeError,
+    SettingsUnknownKeyError,
+    SettingsValueError,
+    UnknownKeyError,
+)
+from magnoliaslip.config.jsonc import JsoncDocument
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import ConfigError, SettingsError
+
+MAX_WINDOW_S = 7 * 86400.0
+MAX_SLOW_START_S = 3600.0
+MAX_SHUTDOWN_S = 3600.0
+
+LogLevel = Literal["DEBUG", "INFO", "WARNING", "ERROR"]
+Network = IPv4Network | IPv6Network
+Name = Annotated[str, Meta(min_length=1, max_length=100)]
+
+T = TypeVar("T", bound=Struct)
+
+# The faults of the strict decoder, as errors of a settings file.
+_SETTINGS_ERRORS: dict[type[ConfigError], type[SettingsError]] = {
+    UnknownKeyError: SettingsUnknownKeyError,
+    MissingKeyError: SettingsMissingKeyError,
+    OutOfRangeError: SettingsValueError,
+}
+
+
+class _SettingsFile(Struct, forbid_unknown_fields=True, frozen=True):
+    id: Name
+    zone: Name
+    data: str
+    control: str
+    egress: str
+    platform: Annotated[list[str], Meta(min_length=1)]
+    allowed_networks: list[str] = []
+    log_level: LogLevel = "INFO"
+    history_window_s: Annotated[float, Meta(gt=0, le=MAX_WINDOW_S)] = 3600.0
+    slow_start_s: Annotated[float, Meta(ge=0, le=MAX_SLOW_START_S)] = 30.0
+    shutdown_deadline_s: Annotated[float, Meta(ge=0, le=MAX_SHUTDOWN_S)] = 30.0
+    record_to: str | None = None
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceSettings:
+    """Settings of one instance.
+
+    Attributes:
+        id: Identifier of the instance, unique in the fleet.
+        zone: Its availability zone.
+        data: Address that takes packets in tunnels.
+        control: Address that takes streams of peers and of operators' tools.
+        egress: Address that takes answers towards callers.
+        platform: Addresses of the platform, tried in turn.
+        allowed_networks: Networks that may connect although they are no members.
+        log_level: Least level of the log lines that are written.
+        history_window_s: Time in seconds for which old versions are kept.
+        slow_start_s: Time in seconds in which a cold server reaches its slots.
+        shutdown_deadline_s: Time in seconds after which a planned stop ends.
+        record_to: File that receives history records; none in production.
+    """
+
+    id: str
+    zone: str
+    data: Address
+    control: Address
+    egress: Address
+    platform: tuple[Address, ...]
+    allowed_networks: tuple[Network, ...] = ()
+    log_level: LogLevel = "INFO"
+    history_window_s: float = 3600.0
+    slow_start_s: float = 30.0
+    shutdown_deadline_s: float = 30.0
+    record_to: Path | None = None
+
+    @classmethod
+    def load(cls, path: str | Path) -> Self:
+        """Read settings from a file in JSON with comments.
+
+        Raises:
+            SettingsError: The file is unreadable, or a setting is invalid.
+        """
+        return cls.from_document(JsoncDocument.load(Path(path)))
+
+    @classmethod
+    def from_document(cls, document: JsoncDocument) -> Self:
+        """Check a decoded document.
+
+        Raises:
+            SettingsError: A setting is invalid.
+        """
+        lines = convert_settings(document, _SettingsFile)
+        return cls(
+            id=lines.id,
+            zone=lines.zone,
+            data=_address(document, "data", lines.data),
+            control=_address(document, "control", lines.control),
+            egress=_address(document, "egress", lines.egress),
+            platform=tuple(
+                _address(document, f"platform[{n}]", text)
+                for n, text in enumerate(lines.platform)
+            ),
+            allowed_networks=tuple(
+                _network(document, f"allowed_networks[{n}]", text)
+                for n, text in enumerate(lines.allowed_networks)
+            ),
+            log_level=lines.log_level,
+            history_window_s=lines.history_window_s,
+            slow_start_s=lines.slow_start_s,
+            shutdown_deadline_s=lines.shutdown_deadline_s,
+            record_to=Path(lines.record_to) if lines.record_to else None,
+        )
+
+
+def convert_settings(document: JsoncDocument, form: type[T]) -> T:
+    """Convert a document to a strict structure.
+
+    Args:
+        document: The decoded file.
+        form: Structure with unknown fields forbidden.
+
+    Raises:
+        SettingsError: A key is unknown, missing, or has the wrong type.
+    """
+    try:
+        return convert(document.value, form, strict=True)
+    except ValidationError as exc:
+        _raise_settings_error(document, str(exc))
+
+
+def _raise_settings_error(document: JsoncDocument, message: str) -> NoReturn:
+    try:
+        raise_validation_error("", message)
+    except ConfigError as exc:
+        error = _SETTINGS_ERRORS.get(type(exc), SettingsTypeError)
+        place = document.place(exc.place.removeprefix(": "))
+        raise error(exc.message, place=place, remedy=exc.remedy) from exc
+
+
+def _address(document: JsoncDocument, key: str, text: str) -> Address:
+    try:
+        return Address.parse(text)
+    except ValueError as exc:
+        raise SettingsValueError(
+            str(exc),
+            place=document.place(key),
+            remedy="use an IP address with a port, such as 127.0.0.1:7001",
+        ) from exc
+
+
+def _network(document: JsoncDocument, key: str, text: str) -> Network:
+    try:
+        return ip_network(text)
+    except ValueError as exc:
+        raise SettingsValueError(
+            str(exc),
+            place=document.place(key),
+            remedy="use a network without host bits, such as 192.0.2.0/24",
+        ) from exc
--- /dev/null
+++ b/tests/config/test_http_platform.py
@@ -0,0 +1,123 @@
+"""Guards against a platform client that hangs or misreads an answer."""
+
+from functools import partial
+
+import anyio
+import pytest
+
+from magnoliaslip.config.http_platform import MAX_BODY_BYTES, HttpPlatform
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.core.errors import PlatformError
+
+FIRST, SECOND = Address("127.0.0.1", 1), Address("127.0.0.1", 2)
+
+
+class Answering:
+    """A byte stream that answers with fixed bytes in small pieces, then ends."""
+
+    def __init__(self, answer, *, silent=False):
+        self.answer, self.silent, self.sent = answer, silent, b""
+
+    async def send(self, data):
+        self.sent += data
+
+    async def receive(self, max_bytes):
+        if self.silent:
+            await anyio.sleep_forever()
+        piece, self.answer = self.answer[:max_bytes], self.answer[max_bytes:]
+        if not piece:
+            raise anyio.EndOfStream
+        return piece
+
+    async def __aenter__(self):
+        return self
+
+    async def __aexit__(self, *exc_info):
+        pass
+
+
+def answer(status, body=b"", index=b"X-Index: 7\r\n"):
+    length = b"" if status == 304 else b"Content-Length: %d\r\n" % len(body)
+    return b"HTTP/1.1 %d x\r\n%s%s\r\n%s" % (status, index, length, body)
+
+
+def platform(streams, **options):
+    """A platform whose addresses answer with the given streams."""
+    asked = []
+
+    async def connect(host, port):
+        asked.append(port)
+        if port not in streams:
+            raise ConnectionRefusedError("refused")
+        return streams[port]
+
+    options = {"clock": ManualClock(start=50.0), "connect": connect} | options
+    return HttpPlatform([FIRST, SECOND], **options), asked
+
+
+def test_read_returns_value_and_index():
+    stream = Answering(answer(200, b"{}"))
+    client, _ = platform({1: stream})
+    value = anyio.run(client.read, "pools/0")
+    assert (value.key, value.data, value.index) == ("pools/0", b"{}", 7)
+    assert stream.sent.startswith(b"GET /v1/values/pools/0 HTTP/1.1\r\n")
+
+
+def test_absent_key_is_none():
+    client, _ = platform({1: Answering(answer(404))})
+    assert anyio.run(client.read, "zones") is None
+
+
+def test_watch_states_wait_and_understands_304():
+    stream = Answering(answer(304))
+    client, _ = platform({1: stream})
+    assert anyio.run(partial(client.watch, "index", after=7, deadline=80.0)) is None
+    assert b"index?after=7&wait_ms=30000 " in stream.sent
+
+
+def test_refused_address_is_replaced_by_the_next_and_stays_last():
+    client, asked = platform({2: Answering(answer(200, b"{}"))})
+    anyio.run(client.read, "zones")
+    with pytest.raises(PlatformError):
+        anyio.run(client.read, "zones")  # the stream has ended
+    assert asked == [1, 2, 2, 1]
+
+
+def test_silent_address_is_given_up():
+    """Guards against a read that waits for ever on a silent connection."""
+    silent = Answering(b"", silent=True)
+    client, asked = platform({1: silent, 2: silent}, read_timeout_s=0.0)
+    with pytest.raises(PlatformError, match="no answer") as caught:
+        anyio.run(client.read, "zones")
+    assert caught.value.remedy
+    assert asked == [1, 2]
+
+
+def test_silent_watch_ends_after_its_grace():
+    client, _ = platform({1: Answering(b"", silent=True)}, watch_grace_s=0.0)
+    with pytest.raises(PlatformError):
+        anyio.run(partial(client.watch, "index", after=7, deadline=50.0))
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        answer(500),
+        answer(200, b"{}", index=b""),
+        answer(200, b"{}", index=b"X-Index: new\r\n"),
+        answer(200, b"{}")[:-1],
+        b"\x00\x01\r\n\r\n",
+        b"",
+    ],
+)
+def test_faulty_answer_is_a_platform_error(data):
+    client, _ = platform({1: Answering(data)})
+    with pytest.raises(PlatformError):
+        anyio.run(client.read, "zones")
+
+
+def test_endless_body_is_cut_off():
+    """Guards against memory that grows with the answer."""
+    client, _ = platform({1: Answering(answer(200, bytes(2 * MAX_BODY_BYTES)))})
+    assert len(anyio.run(client.read, "zones").data) == MAX_BODY_BYTES
