--- /dev/null
+++ b/src/magnoliaslip/dataplane/path.py
@@ -0,0 +1,197 @@
+"""The data path: from a received datagram to a sent one."""
+
+from collections.abc import Callable, Iterable
+from logging import getLogger
+from typing import TYPE_CHECKING
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import PacketError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.links import Direction
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.packet.flow_key import (
+    FIN,
+    FLAGS_OFFSET,
+    IPV4_PLAIN,
+    MIN_PACKET_BYTES,
+    PROTOCOL_OFFSET,
+    PROTOCOL_TCP,
+    RST,
+    SYN,
+    FlowKey,
+    is_plain,
+    plain_key,
+)
+from magnoliaslip.packet.segment import Segment
+from magnoliaslip.packet.tunnel import GUE_RELAY_FIRST_BYTE, Relay
+
+if TYPE_CHECKING:
+    from magnoliaslip.placement.router import FlowRouter
+
+MAX_CACHED_FLOWS = 65_536
+MAX_RELAY_HOPS = 3
+DROP_LOG_INTERVAL_S = 1.0
+OWNER_FLAGS = SYN | FIN | RST
+
+logger = getLogger(__name__)
+
+
+class DataPath:
+    """Decodes datagrams, answers common packets from a cache, asks the router else.
+
+    Args:
+        router: Decides for every packet that the cache does not answer.
+        clock: Source of time.
+        metrics: Receives the drop counters.
+        send: Sends an inner packet to an address; the cached path uses it.
+        egress: Address that takes answers towards callers.
+        recorder: Each packet must be recorded unless this is a `NullRecorder`, so
+            the cache is off then.
+    """
+
+    __slots__ = (
+        "_cache",
+        "_cache_deadline",
+        "_cache_epoch",
+        "_cache_off",
+        "_clock",
+        "_drop_log_at",
+        "_egress",
+        "_metrics",
+        "_recorder",
+        "_router",
+        "_send",
+    )
+
+    def __init__(
+        self,
+        router: "FlowRouter",
+        *,
+        clock: Clock,
+        metrics: Metrics,
+        send: Callable[[bytes, Address], object],
+        egress: Address,
+        recorder: Recorder | None = None,
+    ) -> None:
+        self._router = router
+        self._clock = clock
+        self._metrics = metrics
+        self._send = send
+        self._egress = egress
+        self._recorder = recorder or NullRecorder()
+        self._cache_off = not isinstance(self._recorder, NullRecorder)
+        self._cache: dict[FlowKey, Address] = {}
+        self._cache_epoch = -1
+        self._cache_deadline = 0.0
+        self._drop_log_at: dict[str, float] = {}
+
+    def handle_batch(self, datagrams: Iterable[bytes]) -> None:
+        """Handle datagrams that carry direct IP packets.
+
+        The router's epoch is checked once before the batch and after each packet
+        that went through the router, because only those can change it.
+        """
+        self._refresh_cache()
+        cached = self._cache.get
+        send = self._send
+        for packet in datagrams:
+            if (
+                len(packet) >= MIN_PACKET_BYTES
+                and packet[0] == IPV4_PLAIN
+                and packet[PROTOCOL_OFFSET] == PROTOCOL_TCP
+                and not packet[FLAGS_OFFSET] & OWNER_FLAGS
+                and not packet[6] & 0x3F
+                and not packet[7]
+                and (address := cached(packet[12:24])) is not None
+            ):
+                send(packet, address)
+            else:
+                self.handle_datagram(packet)
+                self._refresh_cache()
+
+    def handle_datagram(self, payload: bytes) -> None:
+        """Handle one datagram, a direct IP packet or a relay; never raises."""
+        try:
+            if payload and payload[0] == GUE_RELAY_FIRST_BYTE:
+                self._handle_relay(Relay.decode(payload))
+            else:
+                self._handle_packet(payload)
+        except PacketError as exc:
+            self._drop(self._drop_kind(payload), str(exc))
+
+    def _handle_packet(self, packet: bytes) -> None:
+        key = self._key(packet)
+        direction = self._router.direction_of(key)
+        if direction is None:
+            self._drop("no_route", f"flow {key.hex()}", key)
+            return
+        if is_plain(packet) and not packet[FLAGS_OFFSET] & OWNER_FLAGS:
+            self._remember(key, direction)
+        self._router.handle_packet(packet, direction=direction)
+
+    def _handle_relay(self, relay: Relay) -> None:
+        if relay.hops > MAX_RELAY_HOPS:
+            self._drop("hop_limit", f"hops {relay.hops}")
+            return
+        key = self._key(relay.packet)
+        if self._router.direction_of(key) != relay.direction:
+            self._drop("no_route", f"flow {key.hex()}", key)
+            return
+        self._router.handle_packet(
+            relay.packet, direction=relay.direction, hops=relay.hops
+        )
+
+    @staticmethod
+    def _key(packet: bytes) -> FlowKey:
+        return plain_key(packet) if is_plain(packet) else Segment.decode(packet).key
+
+    def _remember(self, key: FlowKey, direction: Direction) -> None:
+        """Cache where later packets of the flow go, when that is certain."""
+        if self._cache_off:
+            return
+        if direction is Direction.ANSWER:
+            address = None if self._router.suspect else self._egress
+        else:
+            address = self._router.direct(key)
+        if address is not None:
+            if len(self._cache) >= MAX_CACHED_FLOWS:
+                self._cache.clear()
+            self._cache[key] = address
+
+    def _refresh_cache(self) -> None:
+        router = self._router
+        if (
+            router.epoch != self._cache_epoch
+            or self._clock.monotonic() >= self._cache_deadline
+        ):
+            self._cache.clear()
+            self._cache_epoch = router.epoch
+            self._cache_deadline = router.direct_deadline
+
+    @staticmethod
+    def _drop_kind(payload: bytes) -> str:
+        if len(payload) < MIN_PACKET_BYTES:
+            return "truncated"
+        version = payload[0] >> 4
+        if version == 0:
+            return "malformed_relay"
+        if version != 4 or payload[PROTOCOL_OFFSET] != PROTOCOL_TCP:
+            return "unsupported_protocol"
+        return "fragment" if payload[6] & 0x3F or payload[7] else "malformed"
+
+    def _drop(self, kind: str, detail: str, key: FlowKey = b"") -> None:
+        counter = f"drop_{kind}"
+        self._metrics.counters[counter] += 1
+        self._recorder.record("drop", flow=key.hex(), reason=kind)
+        now = self._clock.monotonic()
+        if now >= self._drop_log_at.get(kind, 0.0):
+            self._drop_log_at[kind] = now + DROP_LOG_INTERVAL_S
+            log_event(
+                logger,
+                Event.PACKET_DROPPED,
+                kind=kind,
+                count=self._metrics.counters[counter],
+                detail=detail,
+            )
