Measure the data path against a bare relay

Change: bench of established, opening and relayed packets; relays only from the relay socket; service addresses are compared as 6-byte keys.

--- a/src/magnoliaslip/bench/__init__.py
+++ b/src/magnoliaslip/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that ``docs/CAPACITY.md`` is worked out from."""
--- /dev/null
+++ b/src/magnoliaslip/bench/fleet.py
@@ -0,0 +1,62 @@
+"""Routers and snapshots for measurements."""
+
+from random import Random
+
+from magnoliaslip.config.snapshot import (
+    BackendServer,
+    HistoryEntry,
+    Pool,
+    Route,
+    Snapshot,
+)
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.group import GroupView, Member
+from magnoliaslip.core.links import PacketLink, PeerLink
+from magnoliaslip.core.recorder import NullRecorder
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.router import FlowRouter
+
+SEED = 1
+
+
+class NullPeerLink(PeerLink):
+    """Discards control messages."""
+
+    __slots__ = ()
+
+    def send(self, instance_id: str, msg: PeerMessage) -> None:
+        """Discard the message."""
+
+
+def one_service(service: Address, server: Address, *, servers: int = 1) -> Snapshot:
+    """Build a snapshot of one service whose servers share an address."""
+    pool = Pool(
+        "service",
+        1,
+        tuple(BackendServer(f"server-{i}", server, "a") for i in range(servers)),
+    )
+    return Snapshot(
+        version=1,
+        routes={service: Route(service, "service")},
+        pools={"service": pool},
+    )
+
+
+def build_router(
+    clock: Clock, packets: PacketLink, *, service: Address, server: Address
+) -> FlowRouter:
+    """Build the router of an instance that is alone in its group."""
+    router = FlowRouter(
+        "i1",
+        clock=clock,
+        packets=packets,
+        peers=NullPeerLink(),
+        recorder=NullRecorder(),
+        rng=Random(SEED),
+    )
+    router.apply_view(GroupView(1, {"i1": Member("i1", "a")}))
+    router.apply_history(
+        [HistoryEntry(one_service(service, server), clock.monotonic())]
+    )
+    return router
--- a/src/magnoliaslip/dataplane/path.py
+++ b/src/magnoliaslip/dataplane/path.py
@@ -4,6 +4,7 @@
 from logging import getLogger
 from typing import TYPE_CHECKING
 
+from magnoliaslip.config.snapshot import Snapshot
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.errors import PacketError
@@ -23,9 +24,10 @@
     FlowKey,
     is_plain,
     plain_key,
+    service_key,
 )
 from magnoliaslip.packet.segment import Segment
-from magnoliaslip.packet.tunnel import GUE_RELAY_FIRST_BYTE, Relay
+from magnoliaslip.packet.tunnel import Relay
 
 if TYPE_CHECKING:
     from magnoliaslip.placement.router import FlowRouter
@@ -63,6 +65,7 @@
         "_recorder",
         "_router",
         "_send",
+        "_services",
     )
 
     def __init__(
@@ -85,6 +88,7 @@
         self._cache: dict[FlowKey, Address] = {}
         self._cache_epoch = -1
         self._cache_deadline = 0.0
+        self._services: frozenset[bytes] = frozenset()
         self._drop_log_at: dict[str, float] = {}
 
     def handle_batch(self, datagrams: Iterable[bytes]) -> None:
@@ -111,19 +115,33 @@
                 self.handle_datagram(packet)
                 self._refresh_cache()
 
+    def apply_snapshot(self, snapshot: Snapshot) -> None:
+        """Take over the service addresses that routes name."""
+        self._services = frozenset(
+            service_key(route.address) for route in snapshot.routes.values()
+        )
+        self._cache.clear()
+
     def handle_datagram(self, payload: bytes) -> None:
-        """Handle one datagram, a direct IP packet or a relay; never raises."""
+        """Handle one direct IP packet; never raises."""
         try:
-            if payload and payload[0] == GUE_RELAY_FIRST_BYTE:
-                self._handle_relay(Relay.decode(payload))
-            else:
-                self._handle_packet(payload)
+            self._handle_packet(payload)
         except PacketError as exc:
             self._drop(self._drop_kind(payload), str(exc))
 
+    def handle_relay(self, payload: bytes) -> None:
+        """Handle a datagram that a member relayed; never raises.
+
+        The caller checks that the source is a member.
+        """
+        try:
+            self._handle_relay(Relay.decode(payload))
+        except PacketError as exc:
+            self._drop("malformed_relay", str(exc))
+
     def _handle_packet(self, packet: bytes) -> None:
         key = self._key(packet)
-        direction = self._router.direction_of(key)
+        direction = self._direction(key)
         if direction is None:
             self._drop("no_route", f"flow {key.hex()}", key)
             return
@@ -136,13 +154,20 @@
             self._drop("hop_limit", f"hops {relay.hops}")
             return
         key = self._key(relay.packet)
-        if self._router.direction_of(key) != relay.direction:
+        if self._direction(key) != relay.direction:
             self._drop("no_route", f"flow {key.hex()}", key)
             return
         self._router.handle_packet(
             relay.packet, direction=relay.direction, hops=relay.hops
         )
 
+    def _direction(self, key: FlowKey) -> Direction | None:
+        if key[4:8] + key[10:12] in self._services:
+            return Direction.REQUEST
+        if key[0:4] + key[8:10] in self._services:
+            return Direction.ANSWER
+        return None
+
     @staticmethod
     def _key(packet: bytes) -> FlowKey:
         return plain_key(packet) if is_plain(packet) else Segment.decode(packet).key
@@ -176,7 +201,8 @@
             return "truncated"
         version = payload[0] >> 4
         if version == 0:
-            return "malformed_relay"
+            # A relay that came to the data socket, whose sources are not checked.
+            return "not_a_member"
         if version != 4 or payload[PROTOCOL_OFFSET] != PROTOCOL_TCP:
             return "unsupported_protocol"
         return "fragment" if payload[6] & 0x3F or payload[7] else "malformed"
--- a/src/magnoliaslip/packet/flow_key.py
+++ b/src/magnoliaslip/packet/flow_key.py
@@ -84,3 +84,12 @@
     source = Address(str(ip_address(key[0:4])), int.from_bytes(key[8:10], "big"))
     destination = Address(str(ip_address(key[4:8])), int.from_bytes(key[10:12], "big"))
     return source, destination
+
+
+def service_key(service: Address) -> bytes:
+    """Return address and port of a service as they stand in flow keys, 6 bytes.
+
+    >>> service_key(Address("10.0.0.2", 80)).hex()
+    '0a0000020050'
+    """
+    return ip_address(service.host).packed + service.port.to_bytes(2, "big")
--- a/tests/dataplane/test_path.py
+++ b/tests/dataplane/test_path.py
@@ -3,6 +3,7 @@
 from hypothesis import given, settings
 from hypothesis.strategies import binary
 
+from magnoliaslip.config.snapshot import Route, Snapshot
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import ManualClock
 from magnoliaslip.core.links import Direction
@@ -26,13 +27,6 @@
         self.suspect = False
         self.handled = []
 
-    def direction_of(self, key):
-        if key[4:8] + key[10:12] == KEY[4:8] + KEY[10:12]:
-            return Direction.REQUEST
-        if key[0:4] + key[8:10] == KEY[4:8] + KEY[10:12]:
-            return Direction.ANSWER
-        return None
-
     def direct(self, key):
         return SERVER
 
@@ -53,6 +47,8 @@
             send=lambda packet, address: self.sent.append(address),
             egress=EGRESS,
         )
+        routes = {SERVICE: Route(SERVICE, "kit-desk")}
+        self.path.apply_snapshot(Snapshot(version=1, routes=routes))
 
 
 def packet(flags=ACK, key=KEY, payload=b"x"):
@@ -122,14 +118,23 @@
     """Guards against relays that circle between two disagreeing instances."""
     fixture = Fixture()
     for hops in (MAX_RELAY_HOPS, MAX_RELAY_HOPS + 1):
-        fixture.path.handle_datagram(Relay(Direction.REQUEST, hops, packet()).encode())
+        fixture.path.handle_relay(Relay(Direction.REQUEST, hops, packet()).encode())
     assert fixture.router.handled == [(Direction.REQUEST, MAX_RELAY_HOPS)]
     assert fixture.metrics.counters["drop_hop_limit"] == 1
 
 
+def test_relays_are_not_taken_from_the_data_socket():
+    """Guards against a stranger who poses as a member."""
+    fixture = Fixture()
+    fixture.path.handle_batch([Relay(Direction.REQUEST, 1, packet()).encode()])
+    assert not fixture.router.handled
+    assert fixture.metrics.counters["drop_not_a_member"] == 1
+
+
 @settings(max_examples=300, deadline=None, derandomize=True)
 @given(binary(max_size=80))
 def test_no_datagram_raises(payload):
     """Guards against a malformed datagram that ends the process."""
     fixture = Fixture()
     fixture.path.handle_batch([payload, b"\x01" + payload, b"\x45" + payload])
+    fixture.path.handle_relay(payload)
