Distribute configuration between platform and peers

Cause: members need the same configuration and list of instances within seconds, while the platform serves few reads. Change: watches and a slow poll per instance behind a pace of platform reads; transfers of history in compressed pieces; confirmation of a suspect view. peer.proto: ConfigReply travels in ConfigPiece messages, requests carry a number. Ruled out: one message per reply, because values of 1 MB exceed the bound on a message; echoing versions only, because an answer from before a pause would confirm an old view.

--- /dev/null
+++ b/src/magnoliaslip/peering/config_transfer.py
@@ -0,0 +1,201 @@
+"""Transfer of snapshots, history and the instance list between peers.
+
+A reply holds sets of published values, each as its difference to the set before.
+It is compressed and cut into pieces; the asking instance pulls one piece after
+another, so a lost piece costs one repetition and no queue holds a whole reply.
+"""
+
+from collections.abc import Mapping, Sequence
+from zlib import compress, decompressobj
+from zlib import error as ZlibError  # noqa: N812
+
+from google.protobuf.message import DecodeError
+from xxhash import xxh3_64_intdigest
+
+from magnoliaslip.config.snapshot import HistoryEntry
+from magnoliaslip.config.store import PublishedSet, SnapshotStore
+from magnoliaslip.config.tables import INDEX_KEY, parse_index
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import ConfigError, PeerError
+from magnoliaslip.peering.proto.peer_pb2 import (
+    ConfigPiece,
+    ConfigReply,
+    ConfigRequest,
+    ConfigValues,
+)
+
+PIECE_BYTES = 256 * 1024  # well below the bound of 1 MB a message
+MAX_PIECES = 64
+MAX_REPLY_BYTES = 32 * 1024 * 1024  # bounds what a faulty peer can make us inflate
+COMPRESSION_LEVEL = 1  # higher levels delay the data path for little gain on JSON
+ENCODED_KEPT_S = 5.0
+ENCODED_KEPT = 4  # replies to different requests that are kept at a time
+
+
+class ConfigSource:
+    """Answers the requests of peers from the store.
+
+    Args:
+        store: Holds the values.
+        clock: Source of monotonic time.
+    """
+
+    __slots__ = ("_clock", "_encoded", "_store")
+
+    def __init__(self, store: SnapshotStore, *, clock: Clock) -> None:
+        self._store = store
+        self._clock = clock
+        self._encoded: dict[tuple, tuple[float, int, bytes]] = {}
+
+    def piece(
+        self, req: ConfigRequest, instances: bytes, instances_version: int
+    ) -> ConfigPiece:
+        """Return the wanted piece of the reply to a request.
+
+        Args:
+            req: The request.
+            instances: The list of instances as published; may be empty.
+            instances_version: Its version.
+
+        Returns:
+            Piece 0 when the transfer that the request names is no longer held.
+        """
+        wanted = instances if instances_version > req.have_instances_version else b""
+        transfer, data = self._reply(req, wanted, instances_version)
+        pieces = max(1, -(-len(data) // PIECE_BYTES))
+        number = req.piece if req.transfer == transfer and req.piece < pieces else 0
+        return ConfigPiece(
+            transfer=transfer,
+            piece=number,
+            pieces=pieces,
+            number=req.number,
+            data=data[number * PIECE_BYTES : (number + 1) * PIECE_BYTES],
+        )
+
+    def _reply(
+        self, req: ConfigRequest, instances: bytes, instances_version: int
+    ) -> tuple[int, bytes]:
+        """Return the hash and the bytes of a reply, encoded once for all its pieces."""
+        now = self._clock.monotonic()
+        history = self._store.history
+        key = (
+            req.have_version,
+            req.with_history,
+            req.have_instances_version,
+            history[-1].snapshot.version if history else 0,
+            instances_version,
+        )
+        self._encoded = {k: e for k, e in self._encoded.items() if e[0] > now}
+        held = self._encoded.get(key)
+        if held is None:
+            snapshots = self._value_sets(req, history, now)
+            reply = ConfigReply(snapshots=snapshots, instances=instances)
+            data = compress(reply.SerializeToString(), COMPRESSION_LEVEL)
+            if len(self._encoded) >= ENCODED_KEPT:
+                del self._encoded[next(iter(self._encoded))]
+            held = self._encoded[key] = (
+                now + ENCODED_KEPT_S,
+                xxh3_64_intdigest(data),
+                data,
+            )
+        return held[1], held[2]
+
+    def _value_sets(
+        self, req: ConfigRequest, history: Sequence[HistoryEntry], now: float
+    ) -> list[ConfigValues]:
+        base = self._store.values_of(req.have_version) or {}
+        entries = [
+            entry
+            for entry in history
+            if req.with_history or entry.snapshot.version > req.have_version
+        ]
+        if not req.with_history and not base:
+            entries = entries[-1:]
+        sets = []
+        for entry in entries:
+            values = self._store.values_of(entry.snapshot.version) or {}
+            changed = {key: v for key, v in values.items() if base.get(key) != v}
+            age_ms = max(0, int((now - entry.since) * 1000))
+            version = entry.snapshot.version
+            sets.append(ConfigValues(version=version, values=changed, age_ms=age_ms))
+            base = values
+        return sets
+
+
+class ReplyAssembly:
+    """Collects the pieces of one reply.
+
+    >>> assembly = ReplyAssembly()
+    >>> assembly.add(ConfigPiece(transfer=7, piece=0, pieces=1, data=b"x"))
+    True
+    """
+
+    __slots__ = ("_parts", "_pieces", "transfer")
+
+    def __init__(self) -> None:
+        self.transfer = 0
+        self._pieces = 0
+        self._parts: list[bytes] = []
+
+    @property
+    def wanted(self) -> int:
+        """The number of the next piece."""
+        return len(self._parts)
+
+    def add(self, piece: ConfigPiece) -> bool:
+        """Add a piece; a piece 0 of another transfer starts again.
+
+        Returns:
+            Whether the reply is whole.
+
+        Raises:
+            PeerError: The reply has too many pieces.
+        """
+        if piece.pieces > MAX_PIECES:
+            raise PeerError(f"a reply of {piece.pieces} pieces exceeds {MAX_PIECES}")
+        if piece.piece == 0 and piece.transfer != self.transfer:
+            self.transfer, self._pieces, self._parts = piece.transfer, piece.pieces, []
+        if piece.transfer == self.transfer and piece.piece == len(self._parts):
+            self._parts.append(piece.data)
+        return len(self._parts) == self._pieces > 0
+
+    def reply(self) -> ConfigReply:
+        """Decode the whole reply.
+
+        Raises:
+            PeerError: The reply is damaged or too large.
+        """
+        inflater = decompressobj()
+        try:
+            data = inflater.decompress(b"".join(self._parts), MAX_REPLY_BYTES)
+            if not inflater.eof:
+                raise PeerError("a reply is truncated or too large")
+            return ConfigReply.FromString(data)
+        except (ZlibError, DecodeError) as exc:
+            raise PeerError(f"a reply is damaged: {exc}") from exc
+
+
+def whole_sets(
+    reply: ConfigReply, base: Mapping[str, bytes], *, now: float
+) -> list[PublishedSet]:
+    """Restore the sets of a reply from their differences.
+
+    Args:
+        reply: The reply.
+        base: The values of the version that the request stated to have.
+        now: Monotonic time in seconds at which the reply arrived.
+
+    Raises:
+        PeerError: An index is missing or invalid.
+    """
+    sets = []
+    values = dict(base)
+    for each in reply.snapshots:
+        values.update(each.values)
+        try:
+            named = parse_index(values.get(INDEX_KEY, b"")).values
+        except ConfigError as exc:
+            raise PeerError(f"version {each.version} has a bad index: {exc}") from exc
+        values = {k: v for k, v in values.items() if k == INDEX_KEY or k in named}
+        sets.append(PublishedSet(dict(values), now - each.age_ms / 1000))
+    return sets
--- /dev/null
+++ b/src/magnoliaslip/peering/dissemination.py
@@ -0,0 +1,145 @@
+"""Distribution of configuration and of the list of instances.
+
+News enters the group through the watchers' watches and everyone's slow poll of the
+platform (`PlatformFeed`). It spreads by the versions in heartbeats, which are sent
+at once when a new version comes into force, and by transfers between peers
+(`PeerFeed`). Versions only rise, so every path may repeat, reorder or lose news.
+"""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+import anyio
+
+from magnoliaslip.config.platform import Platform
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.config.tables import INDEX_KEY
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import ConfigError, PlatformError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.links import PeerLink
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.peering.config_transfer import ConfigSource
+from magnoliaslip.peering.instance_list import InstanceList
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.peer_feed import PeerFeed
+from magnoliaslip.peering.platform_feed import PlatformFeed
+from magnoliaslip.peering.platform_pace import PlatformPace
+from magnoliaslip.peering.proto.peer_pb2 import ConfigRequest, PeerMessage
+
+EXPIRE_S = 1.0
+
+logger = getLogger(__name__)
+
+
+class Dissemination:
+    """Keeps the store and the list of instances up to date.
+
+    Args:
+        membership: Takes the list of instances.
+        clock: Source of monotonic time.
+        link: Sends requests and replies to peers.
+        platform: The configuration service.
+        store: Takes the sets of published values.
+        rng: Source of jitter and choice.
+        metrics: Counts reads and transfers.
+        fleet_size: Expected number of instances, for the pace of platform reads.
+        on_instances: Called after a list of instances came into force.
+    """
+
+    __slots__ = (
+        "_instances",
+        "_link",
+        "_membership",
+        "_on_instances",
+        "_rejected",
+        "_source",
+        "_store",
+        "peers",
+        "platform",
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        clock: Clock,
+        link: PeerLink,
+        platform: Platform,
+        store: SnapshotStore,
+        rng: Random,
+        metrics: Metrics,
+        fleet_size: int,
+        on_instances: Callable[[], None],
+    ) -> None:
+        self._membership = membership
+        self._link = link
+        self._store = store
+        self._on_instances = on_instances
+        self._source = ConfigSource(store, clock=clock)
+        self._instances = b""
+        self._rejected = b""
+        pace = PlatformPace(
+            membership, clock=clock, rng=rng, metrics=metrics, fleet_size=fleet_size
+        )
+        self.platform = PlatformFeed(
+            membership,
+            clock=clock,
+            platform=platform,
+            store=store,
+            rng=rng,
+            pace=pace,
+            take_instances=self._take_instances,
+        )
+        self.peers = PeerFeed(
+            membership,
+            clock=clock,
+            link=link,
+            store=store,
+            rng=rng,
+            metrics=metrics,
+            take_instances=self._take_instances,
+        )
+
+    async def run(self) -> None:
+        """Distribute until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self.platform.run)
+            tasks.start_soon(self.peers.run)
+            tasks.start_soon(self._expire)
+
+    async def _expire(self) -> None:
+        while True:
+            await anyio.sleep(EXPIRE_S)
+            self._store.expire()
+
+    def on_request(self, peer: str, req: ConfigRequest) -> None:
+        """Answer a peer's request with one piece."""
+        version = self._membership.list_version
+        piece = self._source.piece(req, self._instances, version)
+        self._link.send(peer, PeerMessage(config_piece=piece))
+
+    async def confirm_by_platform(self) -> bool:
+        """Refresh the configuration from the platform.
+
+        Returns:
+            Whether the platform answered.
+        """
+        try:
+            await self.platform.refresh(INDEX_KEY)
+        except PlatformError:
+            return False
+        return True
+
+    def _take_instances(self, data: bytes) -> None:
+        try:
+            instances = InstanceList.parse(data)
+        except ConfigError as exc:
+            if data != self._rejected:
+                self._rejected = data
+                log_event(logger, Event.CONFIG_REJECTED, code=exc.code, error=str(exc))
+            return
+        if self._membership.apply_list(instances.entries, instances.version):
+            self._instances = data
+            self._on_instances()
--- /dev/null
+++ b/src/magnoliaslip/peering/instance_list.py
@@ -0,0 +1,75 @@
+"""The platform's list of instances."""
+
+from dataclasses import dataclass
+
+import msgspec
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import ConfigError
+from magnoliaslip.core.group import InstanceEntry
+
+INSTANCES_KEY = "instances"
+
+
+class _Line(msgspec.Struct):
+    id: str
+    zone: str
+    data: str
+    control: str
+    state: str = "live"
+
+
+class _Value(msgspec.Struct):
+    version: int
+    instances: list[_Line]
+
+
+_VALUE = msgspec.json.Decoder(_Value)
+
+
+@dataclass(slots=True, frozen=True)
+class InstanceList:
+    """One version of the list.
+
+    Attributes:
+        version: Version of the value.
+        entries: The listed instances, in published order.
+        data: The value as published, for peers.
+    """
+
+    version: int
+    entries: tuple[InstanceEntry, ...]
+    data: bytes
+
+    @classmethod
+    def parse(cls, data: bytes) -> "InstanceList":
+        """Decode the value of the key ``instances``.
+
+        Unknown keys are ignored, because the platform writes this value itself and
+        may add some.
+
+        Raises:
+            ConfigError: The value is no valid list.
+
+        >>> InstanceList.parse(b'{"version": 9, "instances": []}').version
+        9
+        """
+        try:
+            value = _VALUE.decode(data)
+            entries = tuple(
+                InstanceEntry(
+                    line.id,
+                    line.zone,
+                    Address.parse(line.data),
+                    Address.parse(line.control),
+                    line.state == "leaving",
+                )
+                for line in value.instances
+            )
+        except ValueError as exc:  # also msgspec.DecodeError and ValidationError
+            raise ConfigError(
+                f"the list of instances is invalid: {exc}",
+                place=INSTANCES_KEY,
+                remedy="check what the platform publishes",
+            ) from exc
+        return cls(value.version, entries, data)
--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -124,6 +124,16 @@
         """Change the state of this instance."""
         self._state = state
 
+    @property
+    def listed_count(self) -> int:
+        """The number of instances on the list."""
+        return len(self._listed)
+
+    @property
+    def listed_zones(self) -> int:
+        """The number of availability zones that the list names."""
+        return len({entry.zone for entry in self._listed.values()})
+
     def apply_list(self, instances: Sequence[InstanceEntry], version: int) -> bool:
         """Take over a list of the platform, read here or learned from a peer.
 
@@ -137,9 +147,10 @@
         entries = {entry.id: entry for entry in instances}
         if version <= self.list_version:
             if version < self.list_version or entries != self._listed:
+                conflict = version == self.list_version
                 log_event(
                     logger,
-                    Event.CONFIG_STALE,
+                    Event.CONFIG_CONFLICT if conflict else Event.CONFIG_STALE,
                     key="instances",
                     version=version,
                     in_force=self.list_version,
--- a/src/magnoliaslip/peering/node.py
+++ b/src/magnoliaslip/peering/node.py
@@ -1,25 +1,79 @@
 """The part of an instance that talks to its peers."""
 
+from collections.abc import Callable
+from logging import getLogger
 from random import Random
+from typing import TYPE_CHECKING
 
 import anyio
 
 from magnoliaslip.config.platform import Platform
+from magnoliaslip.config.snapshot import HistoryEntry
+from magnoliaslip.config.store import SnapshotStore
 from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.group import GroupView, MemberState
 from magnoliaslip.core.links import PeerLink
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.core.recorder import Recorder
+from magnoliaslip.peering.dissemination import Dissemination
 from magnoliaslip.peering.forwarding import ForwardingLink
 from magnoliaslip.peering.membership import Membership
 from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
+from magnoliaslip.peering.view_confirmation import ViewConfirmation
+
+if TYPE_CHECKING:
+    from magnoliaslip.placement.router import FlowRouter
 
 HEARTBEAT_S = 0.5
+PUSH_GAP_S = 0.02  # changes this close together share one extra heartbeat
 TICK_S = 0.1
+JOIN_LIMIT_S = 3.0  # a fresh instance serves after this even without all exceptions
+REJECTION_LOG_S = 10.0
+
+logger = getLogger(__name__)
 
 
 class PeerNode:
-    """Exchanges heartbeats with the members of the group and keeps the view."""
+    """Exchanges heartbeats with the group, keeps the view and the configuration.
+
+    The node brings a fresh instance from joining to serving: when a configuration is
+    in force, and the router is ready or `JOIN_LIMIT_S` has passed.
+
+    Args:
+        instance_id: Identifier of this instance.
+        zone: Its availability zone.
+        incarnation: Number that rises with every start of the process.
+        clock: Source of monotonic time.
+        link: Sends over the network; the node wraps it in a `ForwardingLink`.
+        platform: The configuration service.
+        store: The configuration in force and its history.
+        router: Gets views, histories, heartbeats, messages and ticks.
+        recorder: Receives a ``state`` record for each change of state.
+        rng: Source of jitter and choice.
+        metrics: Counters of the process.
+        membership: With seeds and allowed networks of the settings; a plain one by
+            default. Pass it when the router or the network link needs it too.
+        is_ready: Tells whether the router has what it needs to own slices.
+        fleet_size: Expected number of instances, for the pace of platform reads.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_confirmation",
+        "_dissemination",
+        "_heartbeat_number",
+        "_is_ready",
+        "_metrics",
+        "_push",
+        "_recorder",
+        "_rejection_logged_at",
+        "_router",
+        "_store",
+        "_view",
+        "link",
+        "membership",
+    )
 
     def __init__(
         self,
@@ -30,44 +84,96 @@
         clock: Clock,
         link: PeerLink,
         platform: Platform,
-        store,  # noqa: ANN001
-        router,  # noqa: ANN001
+        store: SnapshotStore,
+        router: "FlowRouter",
         recorder: Recorder,
         rng: Random,
         metrics: Metrics,
         membership: Membership | None = None,
+        is_ready: Callable[[], bool] | None = None,
+        fleet_size: int = 1,
     ) -> None:
         self.membership = membership or Membership(
             instance_id, zone, incarnation, clock=clock
         )
         self.link = ForwardingLink(link, self.membership)
         self._clock = clock
-        self._platform = platform
         self._store = store
         self._router = router
         self._recorder = recorder
-        self._rng = rng
         self._metrics = metrics
-        self._number = 0
+        self._is_ready = is_ready or (lambda: True)
+        self._dissemination = Dissemination(
+            self.membership,
+            clock=clock,
+            link=self.link,
+            platform=platform,
+            store=store,
+            rng=rng,
+            metrics=metrics,
+            fleet_size=fleet_size,
+            on_instances=self._on_instances,
+        )
+        self._confirmation = ViewConfirmation(
+            self.membership,
+            clock=clock,
+            router=router,
+            dissemination=self._dissemination,
+        )
+        self._heartbeat_number = 0
+        self._push = anyio.Event()
+        self._rejection_logged_at = float("-inf")
         self._view = GroupView(0)
+        store.subscribe(self._on_history)
+
+    @property
+    def view(self) -> GroupView:
+        """The group view that the router has."""
+        return self._view
+
+    @property
+    def state(self) -> MemberState:
+        """The state that this instance announces."""
+        return self.membership.state
 
     async def run(self) -> None:
         """Run until cancelled."""
+        self._note_state()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_heartbeats)
             tasks.start_soon(self._tick)
+            tasks.start_soon(self._join)
+            tasks.start_soon(self._confirmation.run)
+            tasks.start_soon(self._dissemination.run)
+
+    def check_pause(self) -> None:
+        """Mark the view suspect if the process stood still; for the data path."""
+        self._confirmation.check_pause()
+
+    def begin_leaving(self) -> None:
+        """Announce a planned stop and let the router hand over its flows."""
+        self._set_state(MemberState.LEAVING)
+        self._router.begin_leaving()
 
     async def _send_heartbeats(self) -> None:
         while True:
+            with anyio.move_on_after(HEARTBEAT_S):
+                await self._push.wait()
+            self._push = anyio.Event()
             self._heartbeat_all()
-            await anyio.sleep(HEARTBEAT_S)
+            await anyio.sleep(PUSH_GAP_S)
 
     def _heartbeat_all(self) -> None:
-        self._number += 1
+        self._heartbeat_number += 1
         heard = self.membership.heard_directly()
+        snapshot = self._store.snapshot
         for peer in self.membership.targets():
             heartbeat = Heartbeat(
-                number=self._number, state=int(self.membership.state), heard=heard
+                number=self._heartbeat_number,
+                state=int(self.membership.state),
+                config_version=snapshot.version if snapshot else 0,
+                instances_version=self.membership.list_version,
+                heard=heard,
             )
             record = self.membership.record(peer)
             if record is not None:
@@ -79,10 +185,40 @@
 
     async def _tick(self) -> None:
         while True:
+            self._confirmation.check_pause()
+            self._confirmation.check_silence()
             self.refresh_view()
             self._router.on_tick()
             await anyio.sleep(TICK_S)
 
+    async def _join(self) -> None:
+        while self._store.snapshot is None:
+            await anyio.sleep(TICK_S)
+        deadline = self._clock.monotonic() + JOIN_LIMIT_S
+        while not self._is_ready() and self._clock.monotonic() < deadline:
+            await anyio.sleep(TICK_S)
+        if self.membership.state is MemberState.JOINING:
+            self._set_state(MemberState.SERVING)
+
+    def _set_state(self, state: MemberState) -> None:
+        self.membership.set_state(state)
+        self._note_state()
+        self.refresh_view()
+        self._push.set()
+
+    def _note_state(self) -> None:
+        state = self.membership.state.name.lower()
+        log_event(logger, Event.INSTANCE_STATE, state=state)
+        self._recorder.record("state", state=state)
+
+    def _on_history(self, history: tuple[HistoryEntry, ...]) -> None:
+        self._router.apply_history(history)
+        self._push.set()
+
+    def _on_instances(self) -> None:
+        self.refresh_view()
+        self._push.set()
+
     def refresh_view(self) -> None:
         """Apply the group view to the router if it changed."""
         view = self.membership.view()
@@ -91,21 +227,68 @@
             self._router.apply_view(view)
 
     def on_message(self, msg: PeerMessage) -> None:
-        """Handle a message from the link."""
-        if msg.forward_to and msg.forward_to != self.membership.instance_id:
-            self.link.pass_on(msg)
-            return
-        if msg.WhichOneof("body") != "heartbeat":
-            self._router.on_peer_message(msg.sender, msg)
-            return
+        """Handle a message from the link, or pass it on to its addressee.
+
+        A message is passed on once at most: the receiver sends it directly.
+        """
+        if not self.membership.accepts_sender(msg.sender):
+            self._reject(msg, "sender is no member")
+        elif msg.forward_to and msg.forward_to != self.membership.instance_id:
+            if self.membership.entry(msg.forward_to) is None:
+                self._reject(msg, "addressee is no member")
+            else:
+                self._metrics.counters["peer_messages_passed_on"] += 1
+                self.link.pass_on(msg)
+        elif not self.membership.accepts_message(msg.sender, msg.incarnation):
+            self._metrics.counters["peer_messages_of_former_incarnations"] += 1
+        else:
+            self._handle(msg)
+
+    def _handle(self, msg: PeerMessage) -> None:
+        match msg.WhichOneof("body"):
+            case "heartbeat":
+                self._on_heartbeat(msg)
+            case "config_request":
+                # The configuration here may be old itself.
+                if not self._confirmation.suspect:
+                    self._dissemination.on_request(msg.sender, msg.config_request)
+            case "config_piece":
+                self._dissemination.peers.on_piece(msg.sender, msg.config_piece)
+            case None:
+                self._reject(msg, "body is missing or unknown")
+            case _:
+                self._router.on_peer_message(msg.sender, msg)
+
+    def _on_heartbeat(self, msg: PeerMessage) -> None:
         heartbeat = msg.heartbeat
-        if self.membership.on_heartbeat(
+        if heartbeat.state not in MemberState:
+            self._reject(msg, "state is unknown")
+            return
+        if not self.membership.on_heartbeat(
             msg.sender,
             msg.incarnation,
             number=heartbeat.number,
             state=MemberState(heartbeat.state),
             heard=heartbeat.heard,
+            config_version=heartbeat.config_version,
+            instances_version=heartbeat.instances_version,
             direct=not msg.forward_to,
         ):
-            self.refresh_view()
-            self._router.on_heartbeat(msg.sender, heartbeat)
+            return
+        # Numbers that a former incarnation of this instance sent mean nothing here.
+        if heartbeat.echo_incarnation != self.membership.incarnation:
+            heartbeat.echo_number = 0
+        if heartbeat.log_applied_incarnation != self.membership.incarnation:
+            heartbeat.log_applied = 0
+        self.refresh_view()
+        self._router.on_heartbeat(msg.sender, heartbeat)
+        self._dissemination.peers.on_digest(msg.sender)
+
+    def _reject(self, msg: PeerMessage, reason: str) -> None:
+        self._metrics.counters["peer_messages_rejected"] += 1
+        now = self._clock.monotonic()
+        if now - self._rejection_logged_at > REJECTION_LOG_S:
+            self._rejection_logged_at = now
+            log_event(
+                logger, Event.PEER_REJECTED, peer=repr(msg.sender), reason=repr(reason)
+            )
--- /dev/null
+++ b/src/magnoliaslip/peering/platform_feed.py
@@ -0,0 +1,228 @@
+"""News read from the platform: watches and the slow poll."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+import anyio
+
+from magnoliaslip.config.platform import Platform, PlatformValue
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.config.tables import INDEX_KEY, parse_index
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import ConfigError, PlatformError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.group import GroupView, MemberState
+from magnoliaslip.peering.instance_list import INSTANCES_KEY
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.platform_pace import WATCHERS_PER_ZONE, PlatformPace
+from magnoliaslip.placement.hashing import rank
+
+WATCH_WAIT_S = 2.0  # with the grace, news passes a dead watch within 5 s
+WATCH_GRACE_S = 2.0
+READ_LIMIT_S = 2.5  # the platform client gives up after 2 s
+POLL_S = 30.0
+POLL_JITTER = 0.25
+ROLE_CHECK_S = 0.25
+BACKOFF_MIN_S = 0.25
+BACKOFF_MAX_S = 2.0
+# A fresh instance asks its peers first: they have the history, and may have news
+# that a stale platform lacks.
+PEERS_FIRST_S = 1.0
+INDEX_TRIES = 3  # tables may still be on their way when the index names them
+INDEX_RETRY_S = 0.5
+
+logger = getLogger(__name__)
+
+
+class PlatformFeed:
+    """Reads the index, the tables that it names, and the list of instances.
+
+    The watchers of an availability zone are its first two live members that are
+    not leaving, by rendezvous hashing on the zone. Every instance polls slowly as
+    well.
+
+    Args:
+        membership: Tells the live members of the zone.
+        clock: Source of monotonic time.
+        platform: The configuration service.
+        store: Takes the sets.
+        rng: Source of jitter.
+        pace: Spaces the reads.
+        take_instances: Receives the published list of instances.
+    """
+
+    __slots__ = (
+        "_after",
+        "_clock",
+        "_down",
+        "_membership",
+        "_pace",
+        "_peers_first_until",
+        "_platform",
+        "_rng",
+        "_store",
+        "_take_instances",
+        "heard_at",
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        clock: Clock,
+        platform: Platform,
+        store: SnapshotStore,
+        rng: Random,
+        pace: PlatformPace,
+        take_instances: Callable[[bytes], None],
+    ) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._platform = platform
+        self._store = store
+        self._rng = rng
+        self._pace = pace
+        self._take_instances = take_instances
+        self._after = {INDEX_KEY: 0, INSTANCES_KEY: 0}
+        self._down = False
+        self._peers_first_until = clock.monotonic() + PEERS_FIRST_S
+        self.heard_at = float("-inf")
+
+    async def run(self) -> None:
+        """Watch and poll until cancelled."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._watch, INSTANCES_KEY)
+            tasks.start_soon(self._watch, INDEX_KEY)
+            tasks.start_soon(self._poll)
+
+    @property
+    def is_watcher(self) -> bool:
+        """Whether this instance holds watches for its availability zone."""
+        membership = self._membership
+        return membership.instance_id in watchers(membership.view(), membership.zone)
+
+    async def _watch(self, key: str) -> None:
+        backoff = BACKOFF_MIN_S
+        while True:
+            if not self.is_watcher or not self._may_read(key):
+                await anyio.sleep(ROLE_CHECK_S)
+                continue
+            try:
+                value = await self._watch_once(key)
+                if value is not None:
+                    await self._take(value)
+            except PlatformError as exc:
+                self._note_down(exc)
+                await anyio.sleep(backoff * self._rng.uniform(0.5, 1.0))
+                backoff = min(2 * backoff, BACKOFF_MAX_S)
+            else:
+                backoff = BACKOFF_MIN_S
+
+    def _may_read(self, key: str) -> bool:
+        if key != INDEX_KEY or self._store.snapshot is not None:
+            return True
+        alone = self._membership.list_version and not self._membership.targets()
+        return bool(alone) or self._clock.monotonic() >= self._peers_first_until
+
+    async def _watch_once(self, key: str) -> PlatformValue | None:
+        """Wait for one newer value.
+
+        Raises:
+            PlatformError: The platform failed, or the watch stayed silent.
+        """
+        await self._pace.turn(watcher=True)
+        deadline = self._clock.monotonic() + WATCH_WAIT_S
+        after = self._after[key]
+        with anyio.move_on_after(WATCH_WAIT_S + WATCH_GRACE_S):
+            value = await self._platform.watch(key, after=after, deadline=deadline)
+            self._note_up()
+            if value is not None and value.index <= after:
+                raise PlatformError(f"a watch of {key} answered an old value")
+            return value
+        raise PlatformError(f"a watch of {key} was silent past its deadline")
+
+    async def _poll(self) -> None:
+        await anyio.sleep(self._rng.uniform(0, POLL_S))
+        while True:
+            for key in (INSTANCES_KEY, INDEX_KEY):
+                try:
+                    await self.refresh(key)
+                except PlatformError as exc:
+                    self._note_down(exc)
+            jitter = self._rng.uniform(-POLL_JITTER, POLL_JITTER)
+            await anyio.sleep(POLL_S * (1 + jitter))
+
+    async def refresh(self, key: str) -> None:
+        """Read a value and take it over, whatever its modification counter.
+
+        Raises:
+            PlatformError: The platform did not answer, or not with all values.
+        """
+        value = await self._read(key)
+        if value is not None:
+            await self._take(value)
+
+    async def _read(self, key: str) -> PlatformValue | None:
+        await self._pace.turn(watcher=self.is_watcher)
+        with anyio.move_on_after(READ_LIMIT_S):
+            value = await self._platform.read(key)
+            self._note_up()
+            return value
+        raise PlatformError(f"a read of {key} was not answered")
+
+    async def _take(self, value: PlatformValue) -> None:
+        if value.key == INDEX_KEY:
+            await self._take_index(value.data)
+        else:
+            self._take_instances(value.data)
+        self._after[value.key] = value.index
+
+    async def _take_index(self, index: bytes) -> None:
+        """Read the tables that an index names, and offer the set.
+
+        Raises:
+            PlatformError: The platform did not answer with all values.
+        """
+        for attempt in range(INDEX_TRIES):
+            if attempt:
+                await anyio.sleep(INDEX_RETRY_S)
+            try:
+                if parse_index(index).version <= self._version:
+                    self._store.offer({INDEX_KEY: index})  # reports a conflict
+                    return
+                values = {INDEX_KEY: index}
+                for key in self._store.keys_to_read(index):
+                    value = await self._read(key)
+                    if value is not None:
+                        values[key] = value.data
+                self._store.offer(values)
+                return
+            except ConfigError:
+                continue  # the store has logged it
+
+    @property
+    def _version(self) -> int:
+        snapshot = self._store.snapshot
+        return snapshot.version if snapshot else 0
+
+    def _note_up(self) -> None:
+        self.heard_at = self._clock.monotonic()
+        if self._down:
+            self._down = False
+            log_event(logger, Event.PLATFORM_UP)
+
+    def _note_down(self, exc: PlatformError) -> None:
+        if not self._down:
+            self._down = True
+            log_event(logger, Event.PLATFORM_DOWN, error=repr(exc.message))
+
+
+def watchers(view: GroupView, zone: str) -> list[str]:
+    """Return the members that watch the platform for an availability zone."""
+    candidates = [
+        member.id
+        for member in view.members.values()
+        if member.zone == zone and member.state is not MemberState.LEAVING
+    ]
+    return rank(zone, candidates)[:WATCHERS_PER_ZONE]
--- /dev/null
+++ b/src/magnoliaslip/peering/view_confirmation.py
@@ -0,0 +1,143 @@
+"""Suspicion of a view that may be old, and its confirmation."""
+
+from logging import getLogger
+from typing import TYPE_CHECKING
+
+import anyio
+
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.peering.dissemination import Dissemination
+from magnoliaslip.peering.membership import Membership
+
+if TYPE_CHECKING:
+    from magnoliaslip.placement.router import FlowRouter
+
+PAUSE_S = 1.0  # ticks are 0.1 s apart; a longer gap means that the process stood still
+SILENCE_S = 3.0
+CONFIRM_S = 0.5  # packets are held no longer than this
+# A peer's answer is preferred to the platform's, which may be stale.
+PEER_LEAD_S = 0.1
+
+logger = getLogger(__name__)
+
+
+class ViewConfirmation:
+    """Marks the view suspect after a pause or silence and has it confirmed.
+
+    After a pause, or when neither peers nor the platform were heard for 3 s, all
+    peers and the platform are asked. The first full answer confirms the view; after
+    500 ms the instance serves on with what it has. Peers answer by a number of the
+    request, so that an answer from before the pause confirms nothing.
+
+    Args:
+        membership: Tells the peers and when they were heard.
+        clock: Source of monotonic time.
+        router: Holds packets while its view is suspect.
+        dissemination: Fetches what is newer.
+    """
+
+    __slots__ = (
+        "_asked",
+        "_clock",
+        "_dissemination",
+        "_last_tick",
+        "_membership",
+        "_router",
+        "_silent_since",
+        "_started_at",
+        "suspect",
+    )
+
+    def __init__(
+        self,
+        membership: Membership,
+        *,
+        clock: Clock,
+        router: "FlowRouter",
+        dissemination: Dissemination,
+    ) -> None:
+        self._membership = membership
+        self._clock = clock
+        self._router = router
+        self._dissemination = dissemination
+        self._asked = anyio.Event()
+        self._started_at = self._last_tick = clock.monotonic()
+        self._silent_since: float | None = None
+        self.suspect = False
+
+    def check_pause(self) -> None:
+        """Mark the view suspect if the process stood still since the last call.
+
+        The data path calls this before each batch, so that no packet of a batch
+        that waited during a pause is forwarded by the old view.
+        """
+        now = self._clock.monotonic()
+        gap, self._last_tick = now - self._last_tick, now
+        if gap > PAUSE_S:
+            log_event(logger, Event.CLOCK_JUMPED, seconds=round(gap, 3))
+            self._mark_suspect()
+
+    def check_silence(self) -> None:
+        """Mark the view suspect, once per silence, when nothing is heard."""
+        heard_at = max(
+            self._membership.last_heard(),
+            self._dissemination.platform.heard_at,
+            self._started_at,
+        )
+        silent = self._clock.monotonic() - heard_at > SILENCE_S
+        if silent and self._silent_since != heard_at:
+            self._silent_since = heard_at
+            self._mark_suspect()
+
+    def _mark_suspect(self) -> None:
+        self.suspect = True
+        self._router.mark_view_suspect()
+        self._asked.set()
+
+    async def run(self) -> None:
+        """Confirm the view whenever it is suspect, until cancelled."""
+        while True:
+            await self._asked.wait()
+            self._asked = anyio.Event()
+            confirmed_by = await self._confirm()
+            if self._asked.is_set():
+                continue  # paused again meanwhile
+            self.suspect = False
+            self._router.confirm_view()
+            log_event(logger, Event.VIEW_CONFIRMED, by=confirmed_by or "deadline")
+
+    async def _confirm(self) -> str:
+        answer = _Answer()
+        with anyio.move_on_after(CONFIRM_S):
+            async with anyio.create_task_group() as tasks:
+                for peer in self._membership.targets():
+                    tasks.start_soon(self._ask_peer, peer, answer)
+                tasks.start_soon(self._ask_platform, answer)
+                await answer.arrived.wait()
+                tasks.cancel_scope.cancel()
+        return answer.by
+
+    async def _ask_peer(self, peer: str, answer: "_Answer") -> None:
+        if await self._dissemination.peers.fetch(peer):
+            answer.give(peer)
+
+    async def _ask_platform(self, answer: "_Answer") -> None:
+        prefer_peers_until = self._clock.monotonic() + PEER_LEAD_S
+        if await self._dissemination.confirm_by_platform():
+            if self._membership.targets():
+                now = self._clock.monotonic()
+                await anyio.sleep(max(0.0, prefer_peers_until - now))
+            answer.give("platform")
+
+
+class _Answer:
+    __slots__ = ("arrived", "by")
+
+    def __init__(self) -> None:
+        self.arrived = anyio.Event()
+        self.by = ""
+
+    def give(self, by: str) -> None:
+        self.by = self.by or by
+        self.arrived.set()
