Wire an instance from its parts and run it as a process

Cause: router, data path, store and peers need one owner, used by the binary and in virtual time alike.

--- a/src/magnoliaslip/dataplane/path.py
+++ b/src/magnoliaslip/dataplane/path.py
@@ -34,6 +34,7 @@
 
 MAX_CACHED_FLOWS = 65_536
 MAX_RELAY_HOPS = 3
+PAUSE_S = 1.0
 DROP_LOG_INTERVAL_S = 1.0
 OWNER_FLAGS = SYN | FIN | RST
 
@@ -66,6 +67,8 @@
         "_router",
         "_send",
         "_services",
+        "_tick_at",
+        "last_packet_at",
     )
 
     def __init__(
@@ -88,6 +91,8 @@
         self._cache: dict[FlowKey, Address] = {}
         self._cache_epoch = -1
         self._cache_deadline = 0.0
+        self._tick_at = clock.monotonic()
+        self.last_packet_at = clock.monotonic()
         self._services: frozenset[bytes] = frozenset()
         self._drop_log_at: dict[str, float] = {}
 
@@ -97,6 +102,14 @@
         The router's epoch is checked once before the batch and after each packet
         that went through the router, because only those can change it.
         """
+        now = self._clock.monotonic()
+        if now - self._tick_at > PAUSE_S:
+            # Runs before the timers of a process that was just continued: what
+            # waits in the sockets must not be decided on an old view.
+            self._router.mark_view_suspect()
+            self._tick_at = now
+            log_event(logger, Event.CLOCK_JUMPED)
+        self.last_packet_at = now
         self._refresh_cache()
         cached = self._cache.get
         send = self._send
@@ -122,6 +135,14 @@
         )
         self._cache.clear()
 
+    def note_tick(self) -> None:
+        """Note that the process runs; called every 100 ms.
+
+        A gap of more than `PAUSE_S` since the last call means that the process was
+        paused.
+        """
+        self._tick_at = self._clock.monotonic()
+
     def handle_datagram(self, payload: bytes) -> None:
         """Handle one direct IP packet; never raises."""
         try:
--- /dev/null
+++ b/src/magnoliaslip/instance/node.py
@@ -0,0 +1,184 @@
+"""One instance, wired from its parts without sockets."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+from anyio import Event as Signal
+from anyio import create_task_group, sleep
+
+from magnoliaslip.config.platform import Platform
+from magnoliaslip.config.settings import InstanceSettings
+from magnoliaslip.config.snapshot import HistoryEntry
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.group import MemberState
+from magnoliaslip.core.links import PacketLink, PeerLink
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.dataplane.path import DataPath
+from magnoliaslip.packet.tunnel import GUE_RELAY_FIRST_BYTE
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.node import PeerNode
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.router import FlowRouter
+from magnoliaslip.placement.settings import PlacementConfig
+
+JOIN_WAIT_S = 3.0  # bound on the wait for the exceptions of the peers
+QUIET_S = 2.0  # a leaving instance ends after this time without a packet
+POLL_S = 0.1
+
+logger = getLogger(__name__)
+
+
+class InstanceNode:
+    """Router, data path, store and peers of one instance.
+
+    Args:
+        cfg: Checked settings.
+        incarnation: Number that rises with every start of the process.
+        clock: Source of time.
+        packets: Tunnels to backend servers, callers and members.
+        peers: Control messages to members.
+        platform: The configuration service.
+        send: Sends an inner packet to an address, for the cached path.
+        recorder: Receives history records.
+        rng: Source of jitter.
+        metrics: Receives counters and histograms.
+        membership: Members of the group; made from the settings by default.
+        policy: Placement policy, see `FlowRouter`.
+    """
+
+    def __init__(
+        self,
+        cfg: InstanceSettings,
+        *,
+        incarnation: int,
+        clock: Clock,
+        packets: PacketLink,
+        peers: PeerLink,
+        platform: Platform,
+        send: Callable[[bytes, Address], object],
+        recorder: Recorder | None = None,
+        rng: Random | None = None,
+        metrics: Metrics | None = None,
+        membership: Membership | None = None,
+        policy: str = "exceptions",
+    ) -> None:
+        self.cfg = cfg
+        self.metrics = metrics or Metrics()
+        self._clock = clock
+        self._recorder = recorder or NullRecorder()
+        self._stop = Signal()
+        self.membership = membership or Membership(
+            cfg.id,
+            cfg.zone,
+            incarnation,
+            clock=clock,
+            allowed_networks=cfg.allowed_networks,
+        )
+        self.store = SnapshotStore(
+            clock=clock,
+            history_window_s=cfg.history_window_s,
+            recorder=self._recorder,
+        )
+        self.router = FlowRouter(
+            cfg.id,
+            clock=clock,
+            packets=packets,
+            peers=peers,
+            recorder=self._recorder,
+            rng=rng or Random(),
+            policy=policy,
+            cfg=PlacementConfig(
+                history_window=cfg.history_window_s, slow_start=cfg.slow_start_s
+            ),
+        )
+        self.path = DataPath(
+            self.router,
+            clock=clock,
+            metrics=self.metrics,
+            send=send,
+            egress=cfg.egress,
+            recorder=self._recorder,
+        )
+        self.peering = PeerNode(
+            cfg.id,
+            cfg.zone,
+            incarnation,
+            clock=clock,
+            link=peers,
+            platform=platform,
+            store=self.store,
+            router=self.router,
+            recorder=self._recorder,
+            rng=rng or Random(),
+            metrics=self.metrics,
+            membership=self.membership,
+        )
+        self.store.subscribe(self._apply_history)
+
+    async def run(self) -> None:
+        """Join the group, serve until a stop is requested, then leave it."""
+        async with create_task_group() as tasks:
+            tasks.start_soon(self.peering.run)
+            tasks.start_soon(self._note_ticks)
+            await self._join()
+            await self._stop.wait()
+            await self._leave()
+            tasks.cancel_scope.cancel()
+
+    def request_stop(self) -> None:
+        """Start a graceful shutdown."""
+        self._stop.set()
+
+    def handle_datagram(self, payload: bytes) -> None:
+        """Handle a datagram of the fabric, a backend server or a member."""
+        if payload and payload[0] == GUE_RELAY_FIRST_BYTE:
+            self.path.handle_relay(payload)
+        else:
+            self.path.handle_batch((payload,))
+
+    def on_peer_message(self, msg: PeerMessage) -> None:
+        """Handle a control message of a member."""
+        self.peering.on_message(msg)
+
+    def _apply_history(self, history: tuple[HistoryEntry, ...]) -> None:
+        self.router.apply_history(history)
+        self.path.apply_snapshot(history[-1].snapshot)
+
+    async def _join(self) -> None:
+        self._announce(MemberState.JOINING)
+        while self.store.snapshot is None and not self._stop.is_set():
+            await sleep(POLL_S)
+        deadline = self._clock.monotonic() + JOIN_WAIT_S
+        while self._clock.monotonic() < deadline and not self._stop.is_set():
+            if self.router.synchronized:
+                break
+            await sleep(POLL_S)
+        self._announce(MemberState.SERVING)
+
+    async def _leave(self) -> None:
+        deadline = self._clock.monotonic() + self.cfg.shutdown_deadline_s
+        self._announce(MemberState.LEAVING)
+        self.router.begin_leaving()
+        while self._clock.monotonic() < deadline:
+            if self._clock.monotonic() - self.path.last_packet_at >= QUIET_S:
+                break
+            await sleep(POLL_S)
+        self._recorder.record("state", state="stopped")
+        log_event(logger, Event.INSTANCE_STOPPED, id=self.cfg.id)
+
+    def _announce(self, state: MemberState) -> None:
+        self.membership.set_state(state)
+        self.peering.refresh_view()
+        name = state.name.lower()
+        self._recorder.record("state", state=name)
+        log_event(logger, Event.INSTANCE_STATE, id=self.cfg.id, state=name)
+
+    async def _note_ticks(self) -> None:
+        while True:
+            self.path.note_tick()
+            await sleep(POLL_S)
--- /dev/null
+++ b/src/magnoliaslip/instance/process.py
@@ -0,0 +1,122 @@
+"""An instance as a process: sockets, signals and the control server."""
+
+from contextlib import AsyncExitStack
+from logging import getLogger
+from os import _exit
+from random import SystemRandom
+from signal import SIGINT, SIGTERM
+from sys import stderr
+
+from anyio import create_task_group, open_signal_receiver
+from anyio.abc import TaskGroup
+
+from magnoliaslip.config.http_platform import HttpPlatform
+from magnoliaslip.config.settings import InstanceSettings
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.history_file import FileRecorder
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
+from magnoliaslip.dataplane.udp_link import UdpPacketLink
+from magnoliaslip.instance.admin import AdminService
+from magnoliaslip.instance.node import InstanceNode
+from magnoliaslip.peering.grpc_link import GrpcPeerLink
+from magnoliaslip.peering.membership import Membership
+
+EXIT_INTERRUPTED = 130
+
+logger = getLogger(__name__)
+
+
+async def run_instance(cfg: InstanceSettings) -> None:
+    """Run an instance until SIGTERM or SIGINT has drained it.
+
+    Raises:
+        OSError: An address of the settings can't be bound.
+    """
+    clock = SystemClock()
+    metrics = Metrics()
+    # Wall-clock milliseconds rise from one start to the next without a disk.
+    incarnation = int(clock.wall() * 1000)
+    async with AsyncExitStack() as stack:
+        data = stack.enter_context(open_udp(cfg.data))
+        relay = stack.enter_context(open_udp(cfg.control))
+        recorder: Recorder = NullRecorder()
+        if cfg.record_to is not None:
+            file = stack.enter_context(cfg.record_to.open("ab", buffering=0))
+            recorder = FileRecorder(file, who=cfg.id, clock=clock)
+        membership = Membership(
+            cfg.id,
+            cfg.zone,
+            incarnation,
+            clock=clock,
+            seeds=cfg.peers,
+            allowed_networks=cfg.allowed_networks,
+        )
+        packets = UdpPacketLink(
+            data,
+            relay,
+            egress=cfg.egress,
+            control_address=lambda peer: _control(membership, peer),
+            metrics=metrics,
+        )
+        peers = GrpcPeerLink(
+            cfg.control,
+            membership=membership,
+            clock=clock,
+            rng=SystemRandom(),
+            metrics=metrics,
+        )
+        node = InstanceNode(
+            cfg,
+            incarnation=incarnation,
+            clock=clock,
+            packets=packets,
+            peers=peers,
+            platform=HttpPlatform(cfg.platform, clock=clock),
+            send=packets.send,
+            recorder=recorder,
+            rng=SystemRandom(),
+            metrics=metrics,
+            membership=membership,
+        )
+
+        def handle_relay(payload: bytes, source: Address) -> None:
+            if membership.accepts_address(source.host):
+                node.path.handle_relay(payload)
+            else:
+                metrics.counters["drop_not_a_member"] += 1
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(_stop_on_signals, node, tasks)
+            tasks.start_soon(peers.run, node.on_peer_message, [AdminService(node)])
+            tasks.start_soon(read_batches, data, node.path.handle_batch)
+            tasks.start_soon(read_batches_from, relay, handle_relay)
+            log_event(
+                logger,
+                Event.INSTANCE_STARTED,
+                id=cfg.id,
+                zone=cfg.zone,
+                data=cfg.data,
+                control=cfg.control,
+            )
+            await node.run()
+            tasks.cancel_scope.cancel()
+
+
+def _control(membership: Membership, peer: str) -> Address | None:
+    entry = membership.entry(peer)
+    return entry.control if entry else None
+
+
+async def _stop_on_signals(node: InstanceNode, tasks: TaskGroup) -> None:
+    """Drain on the first signal, end at once on the second."""
+    with open_signal_receiver(SIGTERM, SIGINT) as signals:
+        async for _ in signals:
+            node.request_stop()
+            break
+        async for _ in signals:
+            stderr.flush()
+            _exit(EXIT_INTERRUPTED)
--- a/tests/dataplane/test_path.py
+++ b/tests/dataplane/test_path.py
@@ -27,6 +27,10 @@
         self.suspect = False
         self.handled = []
 
+    def mark_view_suspect(self):
+        self.suspect = True
+        self.epoch += 1
+
     def direct(self, key):
         return SERVER
 
@@ -88,10 +92,21 @@
     fixture.path.handle_batch([packet()])
     assert len(fixture.router.handled) == 2
     fixture.clock.advance(11.0)
+    fixture.path.note_tick()
     fixture.path.handle_batch([packet()])
     assert len(fixture.router.handled) == 3
 
 
+def test_a_paused_process_suspects_its_view_before_it_forwards():
+    """Guards against packets decided on the view from before a pause."""
+    fixture = Fixture()
+    fixture.path.handle_batch([packet(), packet()])
+    fixture.clock.advance(1.5)
+    fixture.path.handle_batch([packet()])
+    assert fixture.router.suspect
+    assert fixture.sent == [SERVER]
+
+
 def test_the_cache_ignores_other_protocols_and_fragments_of_the_same_key():
     """Guards against a UDP packet or fragment that follows a cached TCP flow."""
     fixture = Fixture()
