Add seed peers to the instance settings

Cause: a fresh instance must learn from peers while the platform is down, and its list of instances comes from the platform. Change: setting peers, empty by default.

--- a/src/magnoliaslip/config/settings.py
+++ b/src/magnoliaslip/config/settings.py
@@ -20,6 +20,7 @@
 from magnoliaslip.config.jsonc import JsoncDocument
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import ConfigError, SettingsError
+from magnoliaslip.core.group import InstanceEntry
 
 MAX_WINDOW_S = 7 * 86400.0
 MAX_SLOW_START_S = 3600.0
@@ -39,6 +40,13 @@
 }
 
 
+class _PeerLine(Struct, forbid_unknown_fields=True, frozen=True):
+    id: Name
+    zone: Name
+    data: str
+    control: str
+
+
 class _SettingsFile(Struct, forbid_unknown_fields=True, frozen=True):
     id: Name
     zone: Name
@@ -46,6 +54,7 @@
     control: str
     egress: str
     platform: Annotated[list[str], Meta(min_length=1)]
+    peers: list[_PeerLine] = []
     allowed_networks: list[str] = []
     log_level: LogLevel = "INFO"
     history_window_s: Annotated[float, Meta(gt=0, le=MAX_WINDOW_S)] = 3600.0
@@ -65,6 +74,7 @@
         control: Address that takes streams of peers and of operators' tools.
         egress: Address that takes answers towards callers.
         platform: Addresses of the platform, tried in turn.
+        peers: Instances to ask while the platform does not answer.
         allowed_networks: Networks that may connect although they are no members.
         log_level: Least level of the log lines that are written.
         history_window_s: Time in seconds for which old versions are kept.
@@ -79,6 +89,7 @@
     control: Address
     egress: Address
     platform: tuple[Address, ...]
+    peers: tuple[InstanceEntry, ...] = ()
     allowed_networks: tuple[Network, ...] = ()
     log_level: LogLevel = "INFO"
     history_window_s: float = 3600.0
@@ -113,6 +124,15 @@
                 _address(document, f"platform[{n}]", text)
                 for n, text in enumerate(lines.platform)
             ),
+            peers=tuple(
+                InstanceEntry(
+                    id=line.id,
+                    zone=line.zone,
+                    data=_address(document, f"peers[{n}].data", line.data),
+                    control=_address(document, f"peers[{n}].control", line.control),
+                )
+                for n, line in enumerate(lines.peers)
+            ),
             allowed_networks=tuple(
                 _network(document, f"allowed_networks[{n}]", text)
                 for n, text in enumerate(lines.allowed_networks)
