--- /dev/null
+++ b/src/magnoliaslip/peering/counted_transport.py
@@ -0,0 +1,97 @@
+"""HTTP/2 endpoints that count the bytes of the control streams.
+
+The bytes are those handed to and read from TCP; TCP and IP headers come on top.
+"""
+
+from asyncio import BaseTransport, Transport
+from typing import Any, cast
+
+from grpclib.client import Channel
+from grpclib.protocol import H2Protocol
+from grpclib.server import Server
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.metrics import Metrics
+
+SENT_COUNTER = "control_bytes_sent"
+RECEIVED_COUNTER = "control_bytes_received"
+
+
+class _CountingTransport:
+    """Counts what is written and passes everything on."""
+
+    __slots__ = ("_metrics", "_transport")
+
+    def __init__(self, transport: Transport, metrics: Metrics) -> None:
+        self._transport = transport
+        self._metrics = metrics
+
+    def write(self, data: bytes) -> None:
+        self._metrics.counters[SENT_COUNTER] += len(data)
+        self._transport.write(data)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self._transport, name)
+
+
+class _CountingProtocol(H2Protocol):
+    """Counts what is read."""
+
+    def __init__(self, plain: H2Protocol, metrics: Metrics) -> None:
+        super().__init__(plain.handler, plain.config, plain.h2_config)
+        self._metrics = metrics
+
+    def connection_made(self, transport: BaseTransport) -> None:
+        counting = _CountingTransport(cast(Transport, transport), self._metrics)
+        super().connection_made(cast(BaseTransport, counting))
+
+    def data_received(self, data: bytes) -> None:
+        self._metrics.counters[RECEIVED_COUNTER] += len(data)
+        super().data_received(data)
+
+
+class CountingChannel(Channel):
+    """A client channel that is bound to a local address.
+
+    Peers accept connections by their source address, which the operating system
+    would otherwise choose by route.
+
+    Args:
+        remote: Where to connect.
+        local_host: IP address to connect from.
+        metrics: Receives the counters.
+    """
+
+    def __init__(self, remote: Address, *, local_host: str, metrics: Metrics) -> None:
+        super().__init__(remote.host, remote.port)
+        self._local_host = local_host
+        self._metrics = metrics
+
+    def _protocol_factory(self) -> H2Protocol:
+        return _CountingProtocol(super()._protocol_factory(), self._metrics)
+
+    async def _create_connection(self) -> H2Protocol:
+        # Channel has no option for the local address.
+        _, protocol = await self._loop.create_connection(
+            self._protocol_factory,
+            self._host,
+            self._port,
+            local_addr=(self._local_host, 0),
+        )
+        return protocol
+
+
+class CountingServer(Server):
+    """A server whose connections are counted.
+
+    Args:
+        services: What the server offers.
+        metrics: Receives the counters.
+    """
+
+    def __init__(self, services: list, *, metrics: Metrics) -> None:
+        super().__init__(services)
+        self._metrics = metrics
+
+    def _protocol_factory(self) -> H2Protocol:
+        return _CountingProtocol(super()._protocol_factory(), self._metrics)
--- /dev/null
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -0,0 +1,256 @@
+"""Peer messages over gRPC streams.
+
+Each instance dials every other member and sends on its own stream. The called side
+answers with empty messages, at most one per `ANSWER_GAP_S`, by which the dialling
+side sees that its stream still works.
+"""
+
+from collections.abc import Callable, Iterable
+from logging import getLogger
+from random import Random
+from typing import Any
+
+import anyio
+from google.protobuf.message import DecodeError
+from grpclib import GRPCError, Status
+from grpclib.client import Stream as ClientStream
+from grpclib.server import Stream as ServerStream
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.links import PeerLink
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.peering.counted_transport import CountingChannel, CountingServer
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.proto.peer_grpc import PeeringBase, PeeringStub
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.peering.send_queue import SendQueue
+
+SILENT_S = 1.5  # three heartbeats without an answer
+ANSWER_GAP_S = 0.4  # below the period of heartbeats, so that each gets an answer
+CHECK_S = 0.1
+CONNECT_LIMIT_S = 1.0
+BACKOFF_MIN_S = 0.1
+BACKOFF_MAX_S = 1.0  # a member whose path returns is heard again within 2 s
+TARGETS_CHECK_S = 0.2
+
+logger = getLogger(__name__)
+
+OnMessage = Callable[[PeerMessage], None]
+
+
+class GrpcPeerLink(PeerLink):
+    """Streams to all members and the server for theirs.
+
+    Args:
+        control: Address on which the server listens and from which it dials.
+        membership: Tells the members' addresses and whom to accept.
+        clock: Source of monotonic time.
+        rng: Source of jitter.
+        metrics: Counts bytes, messages and streams.
+    """
+
+    __slots__ = ("_clock", "_control", "_membership", "_metrics", "_queues", "_rng")
+
+    def __init__(
+        self,
+        control: Address,
+        *,
+        membership: Membership,
+        clock: Clock,
+        rng: Random,
+        metrics: Metrics,
+    ) -> None:
+        self._control = control
+        self._membership = membership
+        self._clock = clock
+        self._rng = rng
+        self._metrics = metrics
+        self._queues: dict[str, SendQueue] = {}
+
+    def send(self, instance_id: str, msg: PeerMessage) -> None:
+        """Queue a message; without a stream to the member it is dropped."""
+        queue = self._queues.get(instance_id)
+        if queue is None:
+            self._metrics.counters["peer_messages_unaddressed"] += 1
+            return
+        self._metrics.counters["peer_messages_sent"] += 1
+        self._metrics.counters["peer_messages_dropped"] += queue.put(msg)
+
+    async def run(self, on_message: OnMessage, services: Iterable[Any] = ()) -> None:
+        """Serve and dial until cancelled.
+
+        Args:
+            on_message: Handles each message of a member.
+            services: Further gRPC services for the same port.
+
+        Raises:
+            OSError: The control address can't be bound.
+        """
+        service = PeeringService(
+            on_message,
+            membership=self._membership,
+            clock=self._clock,
+            metrics=self._metrics,
+        )
+        server = CountingServer([service, *services], metrics=self._metrics)
+        await server.start(self._control.host, self._control.port)
+        try:
+            await self._dial_all()
+        finally:
+            server.close()
+            with anyio.CancelScope(shield=True), anyio.move_on_after(CONNECT_LIMIT_S):
+                await server.wait_closed()
+
+    async def _dial_all(self) -> None:
+        """Keep one task for each instance that gets heartbeats."""
+        scopes: dict[tuple[str, Address], anyio.CancelScope] = {}
+        async with anyio.create_task_group() as tasks:
+            while True:
+                wanted = set()
+                for peer in self._membership.targets():
+                    entry = self._membership.entry(peer)
+                    if entry is not None:
+                        wanted.add((peer, entry.control))
+                for target in scopes.keys() - wanted:
+                    scopes.pop(target).cancel()
+                for peer, address in sorted(wanted - scopes.keys()):
+                    scope = scopes[(peer, address)] = anyio.CancelScope()
+                    tasks.start_soon(self._keep_stream, peer, address, scope)
+                await anyio.sleep(TARGETS_CHECK_S)
+
+    async def _keep_stream(
+        self, peer: str, address: Address, scope: anyio.CancelScope
+    ) -> None:
+        """Dial a peer, send what is queued, and dial again when the stream ends."""
+        queue = self._queues[peer] = SendQueue()
+        backoff = BACKOFF_MIN_S
+        with scope:
+            while True:
+                stream = _PeerStream(queue, clock=self._clock)
+                reason = await stream.run(address, self._control.host, self._metrics)
+                self._metrics.counters["peer_streams_replaced"] += 1
+                if stream.answered:
+                    backoff = BACKOFF_MIN_S
+                    log_event(
+                        logger,
+                        Event.PEER_LINK_REPLACED,
+                        peer=peer,
+                        address=address,
+                        reason=repr(reason),
+                    )
+                await anyio.sleep(backoff * self._rng.uniform(0.5, 1.0))
+                backoff = min(2 * backoff, BACKOFF_MAX_S)
+                queue.clear()
+        if self._queues.get(peer) is queue:
+            del self._queues[peer]
+
+
+class _PeerStream:
+    """One stream to a peer, from its connection to its end."""
+
+    __slots__ = ("_clock", "_queue", "_silent_at", "answered")
+
+    def __init__(self, queue: SendQueue, *, clock: Clock) -> None:
+        self._queue = queue
+        self._clock = clock
+        self._silent_at = 0.0
+        self.answered = False
+
+    async def run(self, address: Address, local_host: str, metrics: Metrics) -> str:
+        """Send until the stream fails or is silent; returns the reason."""
+        channel = CountingChannel(address, local_host=local_host, metrics=metrics)
+        reason = "the peer ended the stream"
+        try:
+            with anyio.fail_after(CONNECT_LIMIT_S):
+                await channel.__connect__()
+            async with PeeringStub(channel).Exchange.open() as stream:
+                await stream.send_request()
+                await self._exchange(stream)
+        except* Exception as group:
+            # Whatever fails, of sockets, HTTP/2 or decoding: the stream is replaced.
+            reason = repr(group.exceptions[0])
+        finally:
+            channel.close()
+        return reason
+
+    async def _exchange(self, stream: ClientStream) -> None:
+        self._silent_at = self._clock.monotonic() + SILENT_S
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send, stream)
+            tasks.start_soon(self._watch_silence)
+            while await stream.recv_message() is not None:
+                self.answered = True
+                self._silent_at = self._clock.monotonic() + SILENT_S
+            tasks.cancel_scope.cancel()
+
+    async def _send(self, stream: ClientStream) -> None:
+        while True:
+            await stream.send_message(await self._queue.get())
+
+    async def _watch_silence(self) -> None:
+        while self._clock.monotonic() < self._silent_at:
+            await anyio.sleep(CHECK_S)
+        raise TimeoutError(f"no answer for {SILENT_S} s")
+
+
+class PeeringService(PeeringBase):
+    """Receives the streams of members.
+
+    Args:
+        on_message: Handles each message.
+        membership: Tells whom to accept.
+        clock: Source of monotonic time.
+        metrics: Counts messages and rejected input.
+    """
+
+    def __init__(
+        self,
+        on_message: OnMessage,
+        *,
+        membership: Membership,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._on_message = on_message
+        self._membership = membership
+        self._clock = clock
+        self._metrics = metrics
+
+    async def Exchange(  # noqa: N802
+        self, stream: ServerStream[PeerMessage, PeerMessage]
+    ) -> None:
+        """Take the messages of one stream until it ends.
+
+        Raises:
+            GRPCError: The source address is not accepted.
+        """
+        address = stream.peer.addr()
+        if address is None or not self._membership.accepts_address(address[0]):
+            self._metrics.counters["peer_streams_rejected"] += 1
+            log_event(logger, Event.PEER_REJECTED, address=address)
+            raise GRPCError(Status.PERMISSION_DENIED, "not a member address")
+        answer_at = float("-inf")
+        while True:
+            try:
+                msg = await stream.recv_message()
+            except DecodeError:
+                self._metrics.counters["peer_messages_malformed"] += 1
+                continue
+            if msg is None:
+                return
+            self._take(msg)
+            now = self._clock.monotonic()
+            if now >= answer_at:
+                answer_at = now + ANSWER_GAP_S
+                await stream.send_message(PeerMessage())
+
+    def _take(self, msg: PeerMessage) -> None:
+        self._metrics.counters["peer_messages_received"] += 1
+        try:
+            self._on_message(msg)
+        except Exception:
+            # A fault in one message must not end the stream or the process.
+            self._metrics.counters["peer_messages_failed"] += 1
+            logger.exception("a message of %r was not handled", msg.sender)
--- a/src/magnoliaslip/peering/node.py
+++ b/src/magnoliaslip/peering/node.py
@@ -1,6 +1,5 @@
 """The part of an instance that talks to its peers."""
 
-from collections.abc import Callable
 from logging import getLogger
 from random import Random
 from typing import TYPE_CHECKING
@@ -28,8 +27,8 @@
 HEARTBEAT_S = 0.5
 PUSH_GAP_S = 0.02  # changes this close together share one extra heartbeat
 TICK_S = 0.1
-JOIN_LIMIT_S = 3.0  # a fresh instance serves after this even without all exceptions
 REJECTION_LOG_S = 10.0
+_STATES = frozenset(MemberState)
 
 logger = getLogger(__name__)
 
@@ -37,24 +36,24 @@
 class PeerNode:
     """Exchanges heartbeats with the group, keeps the view and the configuration.
 
-    The node brings a fresh instance from joining to serving: when a configuration is
-    in force, and the router is ready or `JOIN_LIMIT_S` has passed.
+    The owner of the node changes the state of the instance with `set_state`.
 
     Args:
         instance_id: Identifier of this instance.
         zone: Its availability zone.
         incarnation: Number that rises with every start of the process.
         clock: Source of monotonic time.
-        link: Sends over the network; the node wraps it in a `ForwardingLink`.
+        link: Sends to peers. A `ForwardingLink` is used as it is, any other link is
+            wrapped in one. The router must send through the same `ForwardingLink`.
         platform: The configuration service.
         store: The configuration in force and its history.
         router: Gets views, histories, heartbeats, messages and ticks.
-        recorder: Receives a ``state`` record for each change of state.
+        recorder: Not used here: the store records versions, the owner of the node
+            records states.
         rng: Source of jitter and choice.
         metrics: Counters of the process.
         membership: With seeds and allowed networks of the settings; a plain one by
             default. Pass it when the router or the network link needs it too.
-        is_ready: Tells whether the router has what it needs to own slices.
         fleet_size: Expected number of instances, for the pace of platform reads.
     """
 
@@ -63,10 +62,8 @@
         "_confirmation",
         "_dissemination",
         "_heartbeat_number",
-        "_is_ready",
         "_metrics",
         "_push",
-        "_recorder",
         "_rejection_logged_at",
         "_router",
         "_store",
@@ -90,19 +87,18 @@
         rng: Random,
         metrics: Metrics,
         membership: Membership | None = None,
-        is_ready: Callable[[], bool] | None = None,
         fleet_size: int = 1,
     ) -> None:
         self.membership = membership or Membership(
             instance_id, zone, incarnation, clock=clock
         )
-        self.link = ForwardingLink(link, self.membership)
+        if not isinstance(link, ForwardingLink):
+            link = ForwardingLink(link, self.membership)
+        self.link = link
         self._clock = clock
         self._store = store
         self._router = router
-        self._recorder = recorder
         self._metrics = metrics
-        self._is_ready = is_ready or (lambda: True)
         self._dissemination = Dissemination(
             self.membership,
             clock=clock,
@@ -122,6 +118,7 @@
         )
         self._heartbeat_number = 0
         self._push = anyio.Event()
+        self._push.set()  # the first heartbeat goes out at once
         self._rejection_logged_at = float("-inf")
         self._view = GroupView(0)
         store.subscribe(self._on_history)
@@ -138,11 +135,11 @@
 
     async def run(self) -> None:
         """Run until cancelled."""
-        self._note_state()
+        if self._store.snapshot is not None:
+            self._on_history(self._store.history)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._send_heartbeats)
             tasks.start_soon(self._tick)
-            tasks.start_soon(self._join)
             tasks.start_soon(self._confirmation.run)
             tasks.start_soon(self._dissemination.run)
 
@@ -150,10 +147,10 @@
         """Mark the view suspect if the process stood still; for the data path."""
         self._confirmation.check_pause()
 
-    def begin_leaving(self) -> None:
-        """Announce a planned stop and let the router hand over its flows."""
-        self._set_state(MemberState.LEAVING)
-        self._router.begin_leaving()
+    def set_state(self, state: MemberState) -> None:
+        """Change the state of this instance and announce it at once."""
+        self.membership.set_state(state)
+        self.refresh_view()
 
     async def _send_heartbeats(self) -> None:
         while True:
@@ -191,26 +188,6 @@
             self._router.on_tick()
             await anyio.sleep(TICK_S)
 
-    async def _join(self) -> None:
-        while self._store.snapshot is None:
-            await anyio.sleep(TICK_S)
-        deadline = self._clock.monotonic() + JOIN_LIMIT_S
-        while not self._is_ready() and self._clock.monotonic() < deadline:
-            await anyio.sleep(TICK_S)
-        if self.membership.state is MemberState.JOINING:
-            self._set_state(MemberState.SERVING)
-
-    def _set_state(self, state: MemberState) -> None:
-        self.membership.set_state(state)
-        self._note_state()
-        self.refresh_view()
-        self._push.set()
-
-    def _note_state(self) -> None:
-        state = self.membership.state.name.lower()
-        log_event(logger, Event.INSTANCE_STATE, state=state)
-        self._recorder.record("state", state=state)
-
     def _on_history(self, history: tuple[HistoryEntry, ...]) -> None:
         self._router.apply_history(history)
         self._push.set()
@@ -222,9 +199,13 @@
     def refresh_view(self) -> None:
         """Apply the group view to the router if it changed."""
         view = self.membership.view()
-        if view is not self._view:
-            self._view = view
-            self._router.apply_view(view)
+        if view is self._view:
+            return
+        own = self.membership.instance_id
+        if self._view.members.get(own) != view.members[own]:
+            self._push.set()
+        self._view = view
+        self._router.apply_view(view)
 
     def on_message(self, msg: PeerMessage) -> None:
         """Handle a message from the link, or pass it on to its addressee.
@@ -261,7 +242,7 @@
 
     def _on_heartbeat(self, msg: PeerMessage) -> None:
         heartbeat = msg.heartbeat
-        if heartbeat.state not in MemberState:
+        if heartbeat.state not in _STATES:
             self._reject(msg, "state is unknown")
             return
         if not self.membership.on_heartbeat(
