--- a/src/magnoliaslip/config/jsonc.py
+++ b/src/magnoliaslip/config/jsonc.py
@@ -9,9 +9,7 @@
 
 from json import loads as loads_json
 from pathlib import Path
-from re import DOTALL, Match, escape
 from re import compile as compile_pattern
-from re import search as search_pattern
 from typing import Any, Self
 
 from json5 import loads as loads_json5
@@ -21,12 +19,10 @@
     SettingsFileError,
     SettingsSyntaxError,
 )
+from magnoliaslip.config.line_map import LineMap
 
 MAX_FILE_BYTES = 64_000_000
 
-_TOKEN_PATTERN = compile_pattern(
-    r"""(?P<text>"(?:\\.|[^"\\])*"|'(?:\\.|[^'\\])*')|//[^\n]*|/\*.*?\*/""", DOTALL
-)
 _SYNTAX_PATTERN = compile_pattern(r"^<string>:(?P<line>\d+) (?P<what>.*)$")
 
 
@@ -72,20 +68,11 @@
         """Return the file, line and path of a key.
 
         Args:
-            path: Path such as ``pools[0].servers[1].zone``. The line is that of
-                the last key of the path, and left out unless the key stands in
-                the file exactly once.
+            path: Path such as ``pools[0].servers[1].zone``.
         """
-        key = search_pattern(r"([^.\[\]]+)(\[[^\]]*\])*$", path)
-        lines = self._lines(key[1]) if key else []
-        line = f":{lines[0]}" if len(lines) == 1 else ""
-        return f"{self.name}{line}: {path}" if path else self.name
-
-    def _lines(self, key: str) -> list[int]:
-        text = _TOKEN_PATTERN.sub(_blank_comment, self._text)
-        pattern = rf"""(?<![\w$])["']?{escape(key)}["']?\s*:"""
-        starts = [match.start() for match in compile_pattern(pattern).finditer(text)]
-        return [text.count("\n", 0, start) + 1 for start in starts]
+        line = LineMap(self._text).line(path)
+        name = self.name if line is None else f"{self.name}:{line}"
+        return f"{name}: {path}" if path else name
 
     def _decode(self) -> Any:
         try:
@@ -121,8 +108,3 @@
             remedy="remove one of the two",
         )
     return unique
-
-
-def _blank_comment(match: Match[str]) -> str:
-    """Replace a comment by its line breaks, and leave strings as they are."""
-    return match["text"] or "\n" * match[0].count("\n")
--- /dev/null
+++ b/src/magnoliaslip/config/line_map.py
@@ -0,0 +1,89 @@
+"""Lines of the keys in a document of JSON with comments.
+
+>>> lines = LineMap('{// one\\n"pools": [\\n{"service": "a"}]}')
+>>> lines.line("pools[0].service")
+3
+"""
+
+from re import DOTALL, VERBOSE
+from re import compile as compile_pattern
+
+_TOKEN_PATTERN = compile_pattern(
+    r"""(?P<comment>//[^\n]*|/\*.*?\*/)
+    |"(?P<double>(?:\\.|[^"\\])*)"
+    |'(?P<single>(?:\\.|[^'\\])*)'
+    |(?P<mark>[{}\[\]:,])
+    |(?P<word>[^\s{}\[\]:,"'/]+)""",
+    DOTALL | VERBOSE,
+)
+
+
+class _Container:
+    __slots__ = ("is_object", "key", "number", "path")
+
+    def __init__(self, path: str, *, is_object: bool) -> None:
+        self.path = path
+        self.is_object = is_object
+        self.key: str | None = None  # set from the key until the comma behind it
+        self.number = 0
+
+    def entry(self) -> str:
+        if not self.is_object:
+            return f"{self.path}[{self.number}]"
+        return f"{self.path}.{self.key}" if self.path else f"{self.key}"
+
+
+class LineMap:
+    """The line of each key and list entry, by its path.
+
+    The document need not be valid; what cannot be followed has no line.
+
+    Args:
+        text: JSON with comments.
+    """
+
+    __slots__ = ("_lines", "_stack")
+
+    def __init__(self, text: str) -> None:
+        self._lines: dict[str, int] = {}
+        self._stack: list[_Container] = []
+        line, end = 1, 0
+        for match in _TOKEN_PATTERN.finditer(text):
+            line += text.count("\n", end, match.start())
+            end = match.start()
+            if match["comment"] is None:
+                self._take(match["mark"], match["double"] or match["single"], line)
+                if match["word"]:
+                    self._take(None, match["word"], line)
+
+    def line(self, path: str) -> int | None:
+        """Return the line of a path such as ``pools[0].servers[1].zone``.
+
+        A path that is not in the document, such as that of a missing key, gets the
+        line of the nearest container around it; None when there is none.
+        """
+        while path and path not in self._lines:
+            path = path[: max(path.rfind("."), path.rfind("["), 0)]
+        return self._lines.get(path)
+
+    def _take(self, mark: str | None, text: str | None, line: int) -> None:
+        top = self._stack[-1] if self._stack else None
+        if mark == ",":
+            if top is not None:
+                top.number += 1
+                top.key = None
+        elif mark in ("}", "]"):
+            if self._stack:
+                self._stack.pop()
+        elif mark in ("{", "["):
+            path = "" if top is None else top.entry()
+            self._note(top, line)
+            self._stack.append(_Container(path, is_object=mark == "{"))
+        elif mark is None and text is not None:
+            if top is not None and top.is_object and top.key is None:
+                top.key = text
+            self._note(top, line)
+
+    def _note(self, top: _Container | None, line: int) -> None:
+        if top is not None:
+            self._lines.setdefault(top.entry(), line)
--- a/src/magnoliaslip/config/tables.py
+++ b/src/magnoliaslip/config/tables.py
@@ -103,6 +103,8 @@
     zones: dict[Name, Literal["in", "out"]]
 
 
+TableValue = RoutesValue | PoolsValue | ZonesValue
+
 _INDEX_DECODER = Decoder(IndexValue)
 _ZONES_DECODER = Decoder(ZonesValue)
 _ROUTES_DECODER = Decoder(RoutesValue)
@@ -137,23 +139,38 @@
             ConfigError: The value is invalid.
         """
         if key == ZONES_KEY:
-            zones = decode_value(key, data, _ZONES_DECODER)
-            states = sorted(zones.zones.items())
-            in_service = tuple((zone, state == "in") for zone, state in states)
-            return cls(key, zones.version, data, zones=in_service)
+            return cls.build(key, decode_value(key, data, _ZONES_DECODER), data)
         if key.startswith("routes/"):
-            table = decode_value(key, data, _ROUTES_DECODER)
+            return cls.build(key, decode_value(key, data, _ROUTES_DECODER), data)
+        return cls.build(key, decode_value(key, data, _POOLS_DECODER), data)
+
+    @classmethod
+    def build(cls, key: str, value: TableValue, data: bytes = b"") -> Self:
+        """Check a decoded value.
+
+        Args:
+            key: Name of the value, or of the file that it comes from.
+            value: The value.
+            data: JSON document as published.
+
+        Raises:
+            ConfigError: The value is invalid.
+        """
+        if isinstance(value, ZonesValue):
+            states = sorted(value.zones.items())
+            zones = tuple((zone, state == "in") for zone, state in states)
+            return cls(key, value.version, data, zones=zones)
+        if isinstance(value, RoutesValue):
             routes = tuple(
                 Route(_address(line, f"{key}: routes[{n}]"), line.service)
-                for n, line in enumerate(table.routes)
+                for n, line in enumerate(value.routes)
             )
-            return cls(key, table.version, data, routes=routes)
-        shard = decode_value(key, data, _POOLS_DECODER)
+            return cls(key, value.version, data, routes=routes)
         pools = tuple(
-            _pool(line, shard.version, f"{key}: pools[{n}]")
-            for n, line in enumerate(shard.pools)
+            _pool(line, value.version, f"{key}: pools[{n}]")
+            for n, line in enumerate(value.pools)
         )
-        return cls(key, shard.version, data, pools=pools)
+        return cls(key, value.version, data, pools=pools)
 
     def equals(self, other: "Table") -> bool:
         """Return whether both state the same, whatever their layout."""
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -38,7 +38,7 @@
         ('"zone": "a"', '"zonne": "a"', "MS103", "i1.jsonc:3: zonne"),
         ('"zone": "a"', '"zone": 1', "MS104", "i1.jsonc:3: zone"),
         ('"zone": "a",', "", "MS105", "i1.jsonc: zone"),
-        ('"zone": "a"', '"zone": "a", "id": "i2"', "MS106", "i1.jsonc: id"),
+        ('"zone": "a"', '"zone": "a", "id": "i2"', "MS106", "i1.jsonc:3: id"),
         ('"zone": "a"', '"zone": ""', "MS107", "i1.jsonc:3: zone"),
         ("127.0.0.1:7001", "localhost:7001", "MS107", "i1.jsonc:4: data"),
         ("127.0.0.1:7800", "127.0.0.1", "MS107", "i1.jsonc:7: platform[0]"),
