Add reading, rendering and comparison of tables for operators

The tables of the operators' directory are checked with file and line, are rendered to values below the limit of the platform, and are compared with the tables in force.

--- /dev/null
+++ b/src/magnoliaslip/ops/diff.py
@@ -0,0 +1,147 @@
+"""What a change of tables does, before it is published."""
+
+from collections.abc import Iterator, Mapping
+from dataclasses import dataclass
+
+from magnoliaslip.config.snapshot import BackendServer, Pool, Snapshot
+from magnoliaslip.placement.bucket_table import BUCKETS, BucketTable
+
+# Hashes computed for the comparison of one service; a larger pool is compared on
+# evenly spaced buckets, which bounds a comparison to some seconds.
+MAX_HASHES = 4_000_000
+
+
+@dataclass(slots=True, frozen=True)
+class FlowMove:
+    """The new flows of one service that get another backend server.
+
+    Attributes:
+        service: Name of the service.
+        share: Share of new flows that move, from 0 to 1.
+        least: The least share that any placement with even load would move.
+        buckets: Number of buckets compared, of 65,536.
+    """
+
+    service: str
+    share: float
+    least: float
+    buckets: int
+
+
+@dataclass(slots=True, frozen=True)
+class TableDiff:
+    """The differences between two snapshots.
+
+    Attributes:
+        lines: Changes for an operator to read, zones first.
+        moves: Moves of new flows, by service, for services in both snapshots.
+    """
+
+    lines: tuple[str, ...]
+    moves: tuple[FlowMove, ...]
+
+
+def compare_tables(old: Snapshot, new: Snapshot) -> TableDiff:
+    """Compare the snapshot in force with the one to publish."""
+    moves = tuple(
+        _move(service, eligible_servers(old, service), eligible_servers(new, service))
+        for service in sorted(old.pools.keys() & new.pools.keys())
+    )
+    return TableDiff(tuple(_changes(old, new)), moves)
+
+
+def eligible_servers(snapshot: Snapshot, service: str) -> list[BackendServer]:
+    """Return the backend servers of a service that take new flows."""
+    return [
+        server
+        for server in snapshot.pools[service].servers
+        if not server.drain and server.zone not in snapshot.zones_out
+    ]
+
+
+def find_warnings(snapshot: Snapshot) -> list[str]:
+    """Return what is valid and probably not meant."""
+    warnings = []
+    routed = {route.service for route in snapshot.routes.values()}
+    for service in sorted(snapshot.pools):
+        if service not in routed:
+            warnings.append(f"service {service} has a pool and no route")
+        if not eligible_servers(snapshot, service):
+            warnings.append(f"service {service}: no backend server takes new flows")
+    return warnings
+
+
+def least_share(old: set[str], new: set[str]) -> float:
+    """Return the least share of flows that moves when the load stays even.
+
+    Of the old servers that remain, each keeps at most the smaller one of its even
+    shares before and after.
+
+    >>> least_share({"a", "b"}, {"a", "b", "c", "d"})
+    0.5
+    """
+    if not old or not new:
+        return float(bool(old or new))
+    return 1 - len(old & new) / max(len(old), len(new))
+
+
+def _move(service: str, old: list[BackendServer], new: list[BackendServer]) -> FlowMove:
+    old_names = {server.name for server in old}
+    new_names = {server.name for server in new}
+    least = least_share(old_names, new_names)
+    if old_names == new_names:
+        return FlowMove(service, 0.0, least, BUCKETS)
+    before, after = BucketTable(service, old), BucketTable(service, new)
+    hashes = BUCKETS * (len(old) + len(new))
+    step = 1
+    while hashes // step > MAX_HASHES and step < BUCKETS:
+        step *= 2
+    buckets = range(0, BUCKETS, step)
+    moved = sum(before.winner(bucket) != after.winner(bucket) for bucket in buckets)
+    return FlowMove(service, moved / len(buckets), least, len(buckets))
+
+
+def _changes(old: Snapshot, new: Snapshot) -> Iterator[str]:
+    for zone in sorted(new.zones_out - old.zones_out):
+        yield f"zone {zone}: out of service; its established flows are given up"
+    for zone in sorted(old.zones_out - new.zones_out):
+        yield f"zone {zone}: no longer out; its backend servers start cold"
+    for service in sorted(old.pools.keys() | new.pools.keys()):
+        yield from _pool_changes(
+            service, old.pools.get(service), new.pools.get(service)
+        )
+    for address in sorted(old.routes.keys() | new.routes.keys()):
+        before, after = old.routes.get(address), new.routes.get(address)
+        if before is None and after is not None:
+            yield f"route {address}: added, to {after.service}"
+        elif after is None and before is not None:
+            yield f"route {address}: removed, was to {before.service}"
+        elif before and after and before.service != after.service:
+            yield f"route {address}: {before.service} -> {after.service}"
+
+
+def _pool_changes(service: str, old: Pool | None, new: Pool | None) -> Iterator[str]:
+    if old is None or new is None:
+        yield f"service {service}: pool {'removed' if new is None else 'added'}"
+        return
+    before, after = _by_name(old), _by_name(new)
+    for name in sorted(before.keys() | after.keys()):
+        label = f"service {service}: backend server {name}"
+        if name not in before:
+            yield f"{label} added, zone {after[name].zone}, {after[name].address}"
+        elif name not in after:
+            yield f"{label} removed"
+        else:
+            for change in _server_changes(before[name], after[name]):
+                yield f"{label}: {change}"
+
+
+def _server_changes(old: BackendServer, new: BackendServer) -> Iterator[str]:
+    for field in ("address", "zone", "slots", "connections", "drain"):
+        before, after = getattr(old, field), getattr(new, field)
+        if before != after:
+            yield f"{field} {before} -> {after}"
+
+
+def _by_name(pool: Pool) -> Mapping[str, BackendServer]:
+    return {server.name: server for server in pool.servers}
--- /dev/null
+++ b/src/magnoliaslip/ops/rendering.py
@@ -0,0 +1,148 @@
+"""Values to publish, rendered from the operators' tables."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass
+from typing import Any, TypeVar
+
+from msgspec.json import encode
+
+from magnoliaslip.config.decoding import MAX_VALUE_BYTES
+from magnoliaslip.config.errors import OversizeValueError
+from magnoliaslip.config.snapshot import Pool, Route
+from magnoliaslip.config.tables import INDEX_KEY, ZONES_KEY, Table, TableSet
+from magnoliaslip.ops.source import SourceTables
+from magnoliaslip.placement.hashing import name_hash
+
+MAX_SHARDS = 4096
+# A rendered shard leaves room for its version and for some growth, so that a small
+# change does not split every shard.
+SHARD_BYTES = MAX_VALUE_BYTES - 100_000
+
+Line = TypeVar("Line", Route, Pool)
+
+
+@dataclass(slots=True, frozen=True)
+class RenderedSet:
+    """Values to publish.
+
+    Attributes:
+        tables: The whole set.
+        changed: Keys to publish, in the order in which to do so: the index last.
+    """
+
+    tables: TableSet
+    changed: tuple[str, ...]
+
+
+def render_tables(source: SourceTables, in_force: TableSet | None) -> RenderedSet:
+    """Render the values of a set that replaces the one in force.
+
+    A value that changes, and the index, get the same version, one above all that are
+    in force. A shard that is dropped and comes back therefore never comes back with
+    a version that instances have seen.
+
+    Args:
+        source: The checked tables.
+        in_force: The set in force; None for the first publication.
+
+    Raises:
+        OversizeValueError: One service alone fills a value.
+    """
+    held = in_force.tables if in_force else {}
+    highest = max((table.version for table in held.values()), default=0)
+    version = max(highest, in_force.version if in_force else 0) + 1
+    documents = {
+        **_shards("routes", source.routes, _route_line, held),
+        **_shards("pools", source.pools, _pool_line, held),
+        ZONES_KEY: {
+            "zones": {name: "in" if is_in else "out" for name, is_in in source.zones}
+        },
+    }
+    tables = {}
+    for key, document in sorted(documents.items()):
+        table = Table.parse(key, encode({"version": version, **document}))
+        old = held.get(key)
+        tables[key] = old if old is not None and _same(table, old) else table
+    changed = [key for key, table in tables.items() if held.get(key) is not table]
+    if in_force is not None and not changed and tables.keys() == held.keys():
+        return RenderedSet(in_force, ())
+    named = {key: table.version for key, table in tables.items()}
+    index = encode({"version": version, "values": named})
+    return RenderedSet(TableSet(version, index, tables), (*changed, INDEX_KEY))
+
+
+def _same(table: Table, old: Table) -> bool:
+    """Return whether two tables state the same, versions aside."""
+    return (
+        table.routes == old.routes
+        and table.zones == old.zones
+        and [(pool.service, pool.servers) for pool in table.pools]
+        == [(pool.service, pool.servers) for pool in old.pools]
+    )
+
+
+def _shards(
+    kind: str,
+    lines: Iterable[Line],
+    document: Callable[[Line], dict[str, Any]],
+    held: dict[str, Table],
+) -> dict[str, dict[str, Any]]:
+    """Spread lines over shards by service.
+
+    The number of shards is a power of two and never falls. Doubling it splits each
+    shard in two, and leaves a service in its shard or moves it to a new one.
+    """
+    lines = sorted(lines, key=lambda line: line.service)
+    parts = [(name_hash(line.service), document(line)) for line in lines]
+    part_bytes = [len(encode(part)) + 1 for _, part in parts]
+    shards = _held_shards(kind, held)
+    while shards <= MAX_SHARDS:
+        sizes = [0] * shards
+        for (number, _), size in zip(parts, part_bytes, strict=True):
+            sizes[number % shards] += size
+        if max(sizes) <= SHARD_BYTES:
+            break
+        shards *= 2
+    else:
+        raise OversizeValueError(
+            f"a service alone takes more than {SHARD_BYTES} bytes",
+            place=kind,
+            remedy="split the service into several services",
+        )
+    documents: list[list[dict[str, Any]]] = [[] for _ in range(shards)]
+    for number, part in parts:
+        documents[number % shards].append(part)
+    return {f"{kind}/{n}": {kind: shard} for n, shard in enumerate(documents)}
+
+
+def _held_shards(kind: str, held: dict[str, Table]) -> int:
+    """Return the number of shards in force; 1 when they are not of this form."""
+    names = {key.partition("/")[2] for key in held if key.startswith(f"{kind}/")}
+    count = len(names)
+    is_power = count & (count - 1) == 0
+    if count and is_power and names == {str(n) for n in range(count)}:
+        return count
+    return 1
+
+
+def _route_line(route: Route) -> dict[str, Any]:
+    host, port = route.address
+    return {"address": host, "port": port, "service": route.service}
+
+
+def _pool_line(pool: Pool) -> dict[str, Any]:
+    return {
+        "service": pool.service,
+        "servers": [
+            {
+                "name": server.name,
+                "address": server.address.host,
+                "port": server.address.port,
+                "zone": server.zone,
+                "slots": server.slots,
+                "connections": server.connections,
+                "drain": server.drain,
+            }
+            for server in pool.servers
+        ],
+    }
--- /dev/null
+++ b/src/magnoliaslip/ops/source.py
@@ -0,0 +1,122 @@
+"""Tables as operators keep them: files in JSON with comments in one directory."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from dataclasses import dataclass
+from fnmatch import fnmatchcase
+from pathlib import Path
+from typing import Self
+
+from msgspec import ValidationError, convert
+
+from magnoliaslip.config.decoding import raise_validation_error
+from magnoliaslip.config.errors import MissingValueError
+from magnoliaslip.config.jsonc import JsoncDocument
+from magnoliaslip.config.snapshot import Pool, Route, Snapshot
+from magnoliaslip.config.tables import (
+    ZONES_KEY,
+    PoolsValue,
+    RoutesValue,
+    Table,
+    TableSet,
+    ZonesValue,
+)
+from magnoliaslip.core.errors import ConfigError
+
+SUFFIXES = (".json", ".jsonc")
+SOURCE_VERSION = 1  # stands in for the versions that `render` assigns
+
+_FORMS = {
+    "routes*": RoutesValue,
+    "pools*": PoolsValue,
+    "zones": ZonesValue,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class SourceTables:
+    """The tables of a directory, checked as a whole.
+
+    Attributes:
+        routes: Routes of all files ``routes*.json[c]``.
+        pools: Pools of all files ``pools*.json[c]``.
+        zones: Whether each availability zone is in, by name.
+        snapshot: The snapshot that they would make.
+    """
+
+    routes: tuple[Route, ...]
+    pools: tuple[Pool, ...]
+    zones: tuple[tuple[str, bool], ...]
+    snapshot: Snapshot
+
+    @classmethod
+    def load(cls, directory: Path) -> Self:
+        """Read and check the tables of a directory.
+
+        Raises:
+            SettingsError: A file cannot be read, or is no JSON with comments.
+            ConfigError: A table is invalid; the place is file, line and path.
+        """
+        documents: dict[str, JsoncDocument] = {}
+        tables: dict[str, Table] = {}
+        with _located(documents):
+            for path, form in _table_files(directory):
+                key = ZONES_KEY if form is ZonesValue else str(path)
+                document = documents[key] = JsoncDocument.load(path)
+                tables[key] = Table.build(key, _convert(key, document, form))
+            if ZONES_KEY not in tables:
+                raise MissingValueError(
+                    "the file zones.json or zones.jsonc was not found",
+                    place=str(directory),
+                    remedy="add the file with all availability zones",
+                )
+            table_set = TableSet(SOURCE_VERSION, b"", tables)
+            snapshot = table_set.build_snapshot()
+        return cls(
+            tuple(route for table in tables.values() for route in table.routes),
+            tuple(pool for table in tables.values() for pool in table.pools),
+            tables[ZONES_KEY].zones,
+            snapshot,
+        )
+
+
+def _table_files(directory: Path) -> Iterator[tuple[Path, type]]:
+    try:
+        paths = sorted(directory.iterdir())
+    except OSError as exc:
+        raise MissingValueError(
+            f"the directory cannot be read: {exc}",
+            place=str(directory),
+            remedy="name the directory that holds the tables",
+        ) from exc
+    for path in paths:
+        if path.suffix not in SUFFIXES or not path.is_file():
+            continue
+        for pattern, form in _FORMS.items():
+            if fnmatchcase(path.stem, pattern):
+                yield path, form
+
+
+def _convert(
+    key: str, document: JsoncDocument, form: type
+) -> RoutesValue | PoolsValue | ZonesValue:
+    value = document.value
+    if isinstance(value, dict):
+        value = {"version": SOURCE_VERSION, **value}
+    try:
+        return convert(value, form, strict=True)
+    except ValidationError as exc:
+        raise_validation_error(key, str(exc))
+
+
+@contextmanager
+def _located(documents: dict[str, JsoncDocument]) -> Iterator[None]:
+    """Turn the place of a `ConfigError` into file, line and path."""
+    try:
+        yield
+    except ConfigError as exc:
+        for key, document in documents.items():
+            if exc.place == key or exc.place.startswith(f"{key}: "):
+                exc.place = document.place(exc.place[len(key) + 2 :])
+                break
+        raise
