--- a/src/magnoliaslip/config/jsonc.py
+++ b/src/magnoliaslip/config/jsonc.py
@@ -79,15 +79,13 @@
             # The standard decoder is several hundred times as fast on large tables.
             return loads_json(self._text, object_pairs_hook=_unique_pairs)
         except SettingsDuplicateKeyError as exc:
-            exc.place = self.place(exc.place)
-            raise
+            raise self._duplicate_error(exc) from exc
         except (ValueError, RecursionError):
             pass  # not strict JSON; json5 judges it and words the error
         try:
             return loads_json5(self._text, object_pairs_hook=_unique_pairs)
         except SettingsDuplicateKeyError as exc:
-            exc.place = self.place(exc.place)
-            raise
+            raise self._duplicate_error(exc) from exc
         except (ValueError, RecursionError) as exc:
             match = _SYNTAX_PATTERN.match(str(exc))
             raise SettingsSyntaxError(
@@ -96,6 +94,13 @@
                 remedy="correct the JSON syntax; comments are // and /* */",
             ) from exc
 
+    def _duplicate_error(
+        self, exc: SettingsDuplicateKeyError
+    ) -> SettingsDuplicateKeyError:
+        path, line = LineMap(self._text).duplicate or (exc.place, 0)
+        place = f"{self.name}:{line}: {path}" if line else f"{self.name}: {path}"
+        return SettingsDuplicateKeyError(exc.message, place=place, remedy=exc.remedy)
+
 
 def _unique_pairs(pairs: list[tuple[str, Any]]) -> dict[str, Any]:
     unique = dict(pairs)
--- a/src/magnoliaslip/config/line_map.py
+++ b/src/magnoliaslip/config/line_map.py
@@ -40,11 +40,15 @@
 
     Args:
         text: JSON with comments.
+
+    Attributes:
+        duplicate: Path and line of the first key that repeats one of its object.
     """
 
-    __slots__ = ("_lines", "_stack")
+    __slots__ = ("_lines", "_stack", "duplicate")
 
     def __init__(self, text: str) -> None:
+        self.duplicate: tuple[str, int] | None = None
         self._lines: dict[str, int] = {}
         self._stack: list[_Container] = []
         line, end = 1, 0
@@ -82,6 +86,8 @@
         elif mark is None and text is not None:
             if top is not None and top.is_object and top.key is None:
                 top.key = text
+                if self.duplicate is None and top.entry() in self._lines:
+                    self.duplicate = top.entry(), line
             self._note(top, line)
 
     def _note(self, top: _Container | None, line: int) -> None:
--- /dev/null
+++ b/src/magnoliaslip/ops/admin_client.py
@@ -0,0 +1,88 @@
+"""Requests to running instances."""
+
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+from anyio import fail_after
+from grpclib import GRPCError
+from grpclib.client import Channel
+from grpclib.exceptions import ProtocolError, StreamTerminatedError
+from msgspec import DecodeError
+from msgspec.json import Decoder
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import PeerError
+from magnoliaslip.instance.status import InstanceStatus
+from magnoliaslip.peering.proto.peer_grpc import AdminStub
+from magnoliaslip.peering.proto.peer_pb2 import (
+    ExplainRequest,
+    JsonReply,
+    StatusRequest,
+)
+from magnoliaslip.placement.explanation import Explanation
+
+DEFAULT_TIMEOUT_S = 3.0
+
+_STATUS_DECODER = Decoder(InstanceStatus)
+_EXPLANATION_DECODER = Decoder(Explanation)
+
+T = TypeVar("T")
+
+
+class AdminClient:
+    """Asks one instance.
+
+    Args:
+        address: Control address of the instance.
+        timeout_s: Time in seconds for one request.
+    """
+
+    __slots__ = ("_address", "_timeout")
+
+    def __init__(
+        self, address: Address, *, timeout_s: float = DEFAULT_TIMEOUT_S
+    ) -> None:
+        self._address = address
+        self._timeout = timeout_s
+
+    async def status(self) -> InstanceStatus:
+        """Return the status of the instance.
+
+        Raises:
+            PeerError: The instance does not answer, or refuses to.
+        """
+        return await self._ask(
+            lambda stub: stub.Status(StatusRequest()), _STATUS_DECODER
+        )
+
+    async def explain(self, caller: Address, service: Address) -> Explanation:
+        """Return where a packet of a flow goes.
+
+        Raises:
+            PeerError: The instance does not answer, or refuses to.
+        """
+        request = ExplainRequest(caller=str(caller), service_address=str(service))
+        return await self._ask(lambda stub: stub.Explain(request), _EXPLANATION_DECODER)
+
+    async def _ask(
+        self, call: Callable[[AdminStub], Awaitable[JsonReply]], decoder: Decoder[T]
+    ) -> T:
+        try:
+            with fail_after(self._timeout):
+                async with Channel(self._address.host, self._address.port) as channel:
+                    reply = await call(AdminStub(channel))
+            return decoder.decode(reply.json)
+        except TimeoutError as exc:
+            raise self._error(f"no answer in {self._timeout:g} s") from exc
+        except GRPCError as exc:
+            raise self._error(f"refused: {exc.message or exc.status.name}") from exc
+        except (OSError, ProtocolError, StreamTerminatedError, DecodeError) as exc:
+            raise self._error(str(exc) or type(exc).__name__) from exc
+
+    def _error(self, message: str) -> PeerError:
+        return PeerError(
+            message,
+            place=f"instance at {self._address}",
+            remedy="check that it runs, that this is its control address, and that "
+            "its allowed_networks include this host",
+        )
--- /dev/null
+++ b/src/magnoliaslip/ops/check.py
@@ -0,0 +1,123 @@
+"""The command ``check``."""
+
+from collections.abc import Sequence
+from pathlib import Path
+
+from click import UsageError, argument, command, echo, option
+
+from magnoliaslip.config.errors import SettingsValueError
+from magnoliaslip.config.settings import InstanceSettings
+from magnoliaslip.config.snapshot import Snapshot
+from magnoliaslip.core.address import Address
+from magnoliaslip.ops.command_line import (
+    DIRECTORY,
+    EXIT_CODES,
+    FILE,
+    in_force_option,
+    platform_option,
+    reports_errors,
+    tables_in_force,
+)
+from magnoliaslip.ops.diff import TableDiff, compare_tables, find_warnings
+from magnoliaslip.ops.source import SourceTables
+from magnoliaslip.ops.text_table import format_table
+from magnoliaslip.placement.bucket_table import BUCKETS
+
+
+@command(epilog=EXIT_CODES)
+@argument("tables", type=DIRECTORY, required=False)
+@option(
+    "--settings",
+    "settings_files",
+    type=FILE,
+    multiple=True,
+    help="Settings file of an instance; repeat it to check a fleet together.",
+)
+@in_force_option
+@platform_option
+@reports_errors
+def check(
+    tables: Path | None,
+    settings_files: tuple[Path, ...],
+    in_force: Path | None,
+    platform: tuple[Address, ...],
+) -> None:
+    """Check tables and settings before they are published or used.
+
+    TABLES is a directory with zones.jsonc, routes*.jsonc and pools*.jsonc, in JSON
+    or JSON with comments. With --in-force or --platform the command also lists the
+    changes against the tables in force, and for each service the share of new flows
+    that gets another backend server, beside the least share possible.
+    """
+    if tables is None and not settings_files:
+        raise UsageError("state a directory of tables, --settings, or both")
+    if tables is None and (in_force or platform):
+        raise UsageError("a comparison needs a directory of tables")
+    snapshot = SourceTables.load(tables).snapshot if tables else None
+    _check_settings(settings_files, snapshot)
+    if settings_files:
+        echo(f"settings are valid: {len(settings_files)} files")
+    if snapshot is None:
+        return
+    echo(_summary(snapshot))
+    for warning in find_warnings(snapshot):
+        echo(f"warning: {warning}")
+    current = tables_in_force(in_force, platform)
+    if current is not None:
+        echo(f"changes against version {current.version}:")
+        echo(format_diff(compare_tables(current.build_snapshot(), snapshot)))
+
+
+def format_diff(diff: TableDiff) -> str:
+    """Return a diff for an operator to read."""
+    lines = [f"  {line}" for line in diff.lines] or ["  none"]
+    rows = [
+        (
+            move.service,
+            f"{move.share:.2%}",
+            f"{move.least:.2%}",
+            "all" if move.buckets == BUCKETS else f"{move.buckets} of {BUCKETS}",
+        )
+        for move in diff.moves
+    ]
+    if rows:
+        lines.append("new flows that get another backend server:")
+        headings = ("service", "moves", "least possible", "buckets compared")
+        lines.append(format_table(headings, rows, indent="  "))
+    return "\n".join(lines)
+
+
+def _summary(snapshot: Snapshot) -> str:
+    servers = sum(len(pool.servers) for pool in snapshot.pools.values())
+    zones_out = ", ".join(sorted(snapshot.zones_out)) or "none"
+    return (
+        f"tables are valid: {len(snapshot.routes)} routes, {len(snapshot.pools)} "
+        f"pools, {servers} backend servers; zones out: {zones_out}"
+    )
+
+
+def _check_settings(files: Sequence[Path], snapshot: Snapshot | None) -> None:
+    """Check settings files one by one and against each other.
+
+    Raises:
+        SettingsError: A file is invalid, or two instances share what must differ.
+    """
+    taken: dict[tuple[str, str], Path] = {}
+    zones = {
+        server.zone
+        for pool in (snapshot.pools.values() if snapshot else ())
+        for server in pool.servers
+    }
+    for path in files:
+        cfg = InstanceSettings.load(path)
+        for key in ("id", "data", "control"):
+            value = str(getattr(cfg, key))
+            other = taken.setdefault((key, value), path)
+            if other != path:
+                raise SettingsValueError(
+                    f"{value} is the {key} of {other} already",
+                    place=f"{path}: {key}",
+                    remedy="give each instance its own id and addresses",
+                )
+        if zones and cfg.zone not in zones:
+            echo(f"warning: {path}: no backend server is in zone {cfg.zone}")
--- /dev/null
+++ b/src/magnoliaslip/ops/command_line.py
@@ -0,0 +1,95 @@
+"""What the commands share: exit codes, parameters and reports of errors."""
+
+from collections.abc import Callable
+from functools import wraps
+from pathlib import Path
+from sys import exit as exit_process
+from typing import Any, ParamSpec
+
+from anyio import run
+from click import Context, Parameter, ParamType, UsageError, echo, option
+from click import Path as PathType
+
+from magnoliaslip.config.http_platform import HttpPlatform
+from magnoliaslip.config.tables import TableSet
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import MagnoliaslipError, PeerError, PlatformError
+from magnoliaslip.ops.published import load_published, read_published
+
+EXIT_FINE = 0
+EXIT_INVALID = 1
+EXIT_USAGE = 2  # click exits with this code by itself
+EXIT_UNREACHABLE = 3
+EXIT_CODES = (
+    "Exit codes: 0 fine, 1 invalid tables or settings, 2 wrong usage, "
+    "3 the platform or an instance is unreachable."
+)
+
+P = ParamSpec("P")
+
+DIRECTORY = PathType(exists=True, file_okay=False, path_type=Path)
+FILE = PathType(dir_okay=False, path_type=Path)
+
+
+class AddressType(ParamType):
+    """A parameter of the form ADDRESS:PORT."""
+
+    name = "address:port"
+
+    def convert(
+        self, value: Any, param: Parameter | None, ctx: Context | None
+    ) -> Address:
+        """Return the address, or end with wrong usage."""
+        if isinstance(value, Address):
+            return value
+        try:
+            return Address.parse(value)
+        except ValueError as exc:
+            self.fail(str(exc), param, ctx)
+
+
+ADDRESS = AddressType()
+
+in_force_option = option(
+    "--in-force",
+    type=DIRECTORY,
+    help="Directory with the tables in force, as `render` writes them.",
+)
+platform_option = option(
+    "--platform",
+    type=ADDRESS,
+    multiple=True,
+    help="Address of the platform; repeat it for several, tried in turn.",
+)
+
+
+def reports_errors(command: Callable[P, None]) -> Callable[P, None]:
+    """Report the errors of this project on standard error, with an exit code."""
+
+    @wraps(command)
+    def wrapped(*args: P.args, **kwargs: P.kwargs) -> None:
+        try:
+            command(*args, **kwargs)
+        except (PlatformError, PeerError) as exc:
+            echo(exc, err=True)
+            exit_process(EXIT_UNREACHABLE)
+        except MagnoliaslipError as exc:
+            echo(exc, err=True)
+            exit_process(EXIT_INVALID)
+
+    return wrapped
+
+
+def tables_in_force(
+    directory: Path | None, platform: tuple[Address, ...]
+) -> TableSet | None:
+    """Return the tables in force from files or the platform; None without either.
+
+    Raises:
+        MagnoliaslipError: The tables cannot be read, or are invalid.
+    """
+    if directory is not None and platform:
+        raise UsageError("state only one of --in-force and --platform")
+    if directory is not None:
+        return load_published(directory)
+    return run(read_published, HttpPlatform(platform)) if platform else None
--- a/src/magnoliaslip/ops/diff.py
+++ b/src/magnoliaslip/ops/diff.py
@@ -140,7 +140,7 @@
     for field in ("address", "zone", "slots", "connections", "drain"):
         before, after = getattr(old, field), getattr(new, field)
         if before != after:
-            yield f"{field} {before} -> {after}"
+            yield f"{field} {before} -> {after}".lower()
 
 
 def _by_name(pool: Pool) -> Mapping[str, BackendServer]:
--- /dev/null
+++ b/src/magnoliaslip/ops/explain.py
@@ -0,0 +1,85 @@
+"""The command ``explain``."""
+
+from dataclasses import replace
+from pathlib import Path
+
+from anyio import run
+from click import UsageError, argument, command, echo, option
+from msgspec.json import encode, format
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.ops.admin_client import AdminClient
+from magnoliaslip.ops.command_line import (
+    ADDRESS,
+    DIRECTORY,
+    EXIT_CODES,
+    in_force_option,
+    platform_option,
+    reports_errors,
+    tables_in_force,
+)
+from magnoliaslip.ops.explaining import explain_flow
+from magnoliaslip.ops.source import SourceTables
+from magnoliaslip.placement.explanation import Explanation
+
+
+@command(epilog=EXIT_CODES)
+@argument("caller", type=ADDRESS)
+@argument("service", type=ADDRESS)
+@option("--tables", type=DIRECTORY, help="Directory of tables, as `check` takes it.")
+@in_force_option
+@platform_option
+@option("--instance", type=ADDRESS, help="Control address of a running instance.")
+@option("--json", "as_json", is_flag=True, help="Print JSON.")
+@reports_errors
+def explain(
+    caller: Address,
+    service: Address,
+    tables: Path | None,
+    in_force: Path | None,
+    platform: tuple[Address, ...],
+    instance: Address | None,
+    as_json: bool,
+) -> None:
+    """Tell which service and backend server a flow gets, and why.
+
+    CALLER and SERVICE are the address and port of both ends, such as
+    192.0.2.7:40000 198.51.100.10:443. Tables alone tell where a new flow goes by
+    default. A running instance also considers the flows that it holds, load and
+    history.
+    """
+    if sum(map(bool, (tables, in_force, platform, instance))) != 1:
+        raise UsageError(
+            "state exactly one of --tables, --in-force, --platform and --instance"
+        )
+    if instance is not None:
+        explanation = run(AdminClient(instance).explain, caller, service)
+    elif tables is not None:
+        snapshot = replace(SourceTables.load(tables).snapshot, version=0)
+        explanation = explain_flow(snapshot, caller, service)
+    else:
+        in_force_set = tables_in_force(in_force, platform)
+        assert in_force_set is not None
+        explanation = explain_flow(in_force_set.build_snapshot(), caller, service)
+    if as_json:
+        echo(format(encode(explanation)))
+    else:
+        echo(format_explanation(explanation))
+
+
+def format_explanation(explanation: Explanation) -> str:
+    """Return an explanation for an operator to read."""
+    version = explanation.config_version
+    lines = [
+        f"service         {explanation.service or '-'}",
+        f"backend server  {explanation.server or '-'}",
+        f"zone            {explanation.zone or '-'}",
+        f"reason          {explanation.reason or '-'}",
+        f"owner           {explanation.owner or '-'}",
+        f"bucket          {explanation.bucket}",
+        f"tables          {f'version {version}' if version else 'not published'}",
+    ]
+    if explanation.steps:
+        lines.append("steps:")
+        lines += [f"  {n}. {step}" for n, step in enumerate(explanation.steps, start=1)]
+    return "\n".join(lines)
