--- /dev/null
+++ b/src/magnoliaslip/lab/backend.py
@@ -0,0 +1,418 @@
+"""A backend server as the load balancer meets it."""
+
+from collections import Counter
+from collections.abc import Callable, Collection, Mapping
+from dataclasses import dataclass, field
+from enum import StrEnum
+from random import Random
+
+from magnoliaslip.config.snapshot import BackendServer
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import PacketError
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.lab.deadlines import DeadlineQueue
+from magnoliaslip.lab.health import HealthEndpoint, HealthReport
+from magnoliaslip.lab.protocol import (
+    Answer,
+    Cancel,
+    Kind,
+    Message,
+    MessageReader,
+    ProtocolError,
+    Push,
+    Request,
+    encode_message,
+)
+from magnoliaslip.lab.slots import Admission, SlotConfig, Slots
+from magnoliaslip.lab.tcp import TcpEndpoint, TcpState
+from magnoliaslip.packet.flow_key import RST, FlowKey, reverse_key, split_key
+from magnoliaslip.packet.segment import Segment
+
+REPORT_INTERVAL_S = 1.0
+SLOTS_NOT_STATED = 4
+CONNECTIONS_NOT_STATED = 2000
+WORK_SPREAD = (0.5, 1.5)  # of the mean
+WORK_S: Mapping[Kind, float] = {
+    Kind.ORDER: 0.03,
+    Kind.REPORT: 0.04,
+    Kind.UPLOAD: 0.06,
+    Kind.FEED: 0.01,
+    Kind.STATUS: 0.005,
+}
+
+
+class ServerState(StrEnum):
+    """States of a backend server in history records."""
+
+    COLD = "cold"
+    WARM = "warm"
+    DRAINING = "draining"
+    STOPPED = "stopped"
+
+
+@dataclass(slots=True, eq=False)
+class _Job:
+    """A request on the server; a feed stays after its work is done."""
+
+    request: Request
+    flow: "_Flow"
+    deadline: float
+    cancelled: bool = False
+    pushes: int = 0
+
+
+@dataclass(slots=True, eq=False)
+class _Flow:
+    endpoint: TcpEndpoint
+    reader: MessageReader = field(default_factory=MessageReader)
+    jobs: dict[str, _Job] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class _Timer:
+    """What a deadline of the server is for."""
+
+    kind: str
+    subject: object = None
+
+
+_REPORT = _Timer("report")
+
+
+class BackendServerModel:
+    """Listens on service addresses inside the tunnel and answers requests.
+
+    Args:
+        server: Its line of the pool; slots and connections bound it.
+        service: The service that it belongs to.
+        addresses: Service addresses that its operating system owns.
+        clock: Source of time.
+        rng: Source of sequence numbers and working times.
+        send: Receives each outgoing IP packet.
+        recorder: Receives the history records of a backend server.
+        cold: Whether it starts cold.
+        slot_cfg: Replaces the bounds that follow from ``server``.
+    """
+
+    def __init__(
+        self,
+        server: BackendServer,
+        service: str,
+        *,
+        addresses: Collection[Address],
+        clock: Clock,
+        rng: Random,
+        send: Callable[[bytes], None],
+        recorder: Recorder | None = None,
+        cold: bool = False,
+        slot_cfg: SlotConfig | None = None,
+    ) -> None:
+        self.server = server
+        self.service = service
+        self.health = HealthEndpoint()
+        self.counters: Counter[str] = Counter()
+        self.silent = False
+        self._addresses = frozenset(addresses)
+        self._clock = clock
+        self._rng = rng
+        self._send = send
+        self._recorder = recorder or NullRecorder()
+        self._max_flows = server.connections or CONNECTIONS_NOT_STATED
+        slots = server.slots or SLOTS_NOT_STATED
+        self._slots: Slots[_Job] = Slots(slot_cfg or SlotConfig(slots=slots))
+        self._flows: dict[FlowKey, _Flow] = {}
+        self._silent_flows: set[FlowKey] = set()
+        self._deadlines: DeadlineQueue[_Timer] = DeadlineQueue()
+        self._draining = False
+        self._started_at = clock.monotonic()
+        self._last_state: tuple[ServerState, int] | None = None
+        self._begin(cold=cold)
+
+    @property
+    def next_deadline(self) -> float | None:
+        """When `poll` has work, monotonic seconds."""
+        return self._deadlines.next_deadline
+
+    @property
+    def connections(self) -> int:
+        """Number of flows that the server knows."""
+        return len(self._flows)
+
+    @property
+    def state(self) -> ServerState:
+        """The present state."""
+        if self._draining:
+            return ServerState.DRAINING if self._flows else ServerState.STOPPED
+        now = self._clock.monotonic()
+        return ServerState.COLD if self._slots.is_cold(now) else ServerState.WARM
+
+    def restart(self, *, cold: bool = True) -> None:
+        """Forget all flows and requests without a word to anyone."""
+        for key in self._flows:
+            self._deadlines.set(_Timer("flow", key), None)
+        for flow in self._flows.values():
+            for job in flow.jobs.values():
+                self._cancel_timers(job)
+        self._flows.clear()
+        self._silent_flows.clear()
+        self.counters["restarts"] += 1
+        self._begin(cold=cold)
+
+    def drain(self) -> None:
+        """Refuse new flows from now on; known flows go on."""
+        self._draining = True
+        self._note_state()
+
+    def silence_flows(self) -> None:
+        """Let all present flows go silent for good; new ones work."""
+        self._silent_flows.update(self._flows)
+
+    def health_report(self) -> HealthReport:
+        """Return what the health endpoint states now."""
+        return self.health.answer(self._true_report())
+
+    def on_packet(self, packet: bytes) -> None:
+        """Handle an inner IP packet that came out of the tunnel."""
+        if self.silent:
+            return
+        try:
+            segment = Segment.decode(packet)
+        except PacketError:
+            self.counters["malformed"] += 1
+            return
+        key = segment.key
+        known = key in self._flows
+        self._recorder.record(
+            "segment",
+            server=self.server.name,
+            service=self.service,
+            flow=key.hex(),
+            segment=_kind_of(segment),
+            known=known,
+        )
+        if split_key(key)[1] not in self._addresses:
+            self.counters["foreign"] += 1
+        elif key in self._silent_flows:
+            self.counters["silenced"] += 1
+        elif known:
+            self._on_known(key, segment)
+        elif segment.is_open:
+            self._on_open(segment)
+        elif not segment.flags & RST:
+            self.counters["unknown"] += 1
+            self._emit(segment.reset_reply().encode())
+
+    def poll(self, now: float) -> None:
+        """Do what is due: retransmissions, ends of work, pushes, reports."""
+        for timer in self._deadlines.take_due(now):
+            subject = timer.subject
+            if timer.kind == "report":
+                self.health.note(now, self._true_report())
+                self._note_state()
+                self._deadlines.set(_REPORT, now + REPORT_INTERVAL_S)
+            elif timer.kind == "work":
+                self._end_work(subject)
+            elif timer.kind == "push":
+                self._push(subject)
+            elif subject in self._flows:
+                self._flows[subject].endpoint.poll(now)
+                self._after(subject)
+
+    def _begin(self, *, cold: bool) -> None:
+        now = self._clock.monotonic()
+        self._started_at = now
+        self._slots.restart(cold_since=now if cold else None)
+        self._last_state = None
+        self._note_state()
+        self._deadlines.set(_REPORT, now + REPORT_INTERVAL_S)
+
+    def _true_report(self) -> HealthReport:
+        return HealthReport(
+            server=self.server.name,
+            service=self.service,
+            state=self.state,
+            uptime_s=self._clock.monotonic() - self._started_at,
+            load=self._slots.load,
+            connections=self.connections,
+        )
+
+    def _note_state(self) -> None:
+        state, bears = self.state, self._slots.bears(self._clock.monotonic())
+        if (state, bears) == self._last_state:
+            return
+        self._last_state = (state, bears)
+        self._recorder.record(
+            "server_state",
+            server=self.server.name,
+            service=self.service,
+            state=state,
+            bears=bears,
+        )
+
+    def _emit(self, packet: bytes) -> None:
+        if self.silent or (
+            self._silent_flows and reverse_key(packet[12:24]) in self._silent_flows
+        ):
+            return
+        self._send(packet)
+
+    def _on_open(self, segment: Segment) -> None:
+        busy = len(self._flows) >= self._max_flows or self._slots.is_full
+        if self._draining or busy:
+            self.counters["refused"] += 1
+            self._emit(segment.reset_reply().encode())
+            return
+        endpoint = TcpEndpoint.accept(
+            segment, clock=self._clock, rng=self._rng, send=self._emit
+        )
+        self._flows[segment.key] = _Flow(endpoint)
+        self.counters["opened"] += 1
+        self._after(segment.key)
+
+    def _on_known(self, key: FlowKey, segment: Segment) -> None:
+        flow = self._flows[key]
+        flow.endpoint.on_segment(segment)
+        try:
+            messages = flow.reader.feed(flow.endpoint.read())
+        except ProtocolError:
+            self.counters["malformed"] += 1
+            flow.endpoint.abort()
+            messages = []
+        for msg in messages:
+            self._on_message(flow, msg)
+            if key not in self._flows:  # the message made the server fail
+                return
+        self._after(key)
+
+    def _after(self, key: FlowKey) -> None:
+        """Close or forget a flow as its endpoint demands, and set its timer."""
+        flow = self._flows[key]
+        if flow.endpoint.eof:
+            for job in [job for job in flow.jobs.values() if self._is_idle(job)]:
+                self._finish(job, complete=True)
+            if not flow.jobs:
+                flow.endpoint.close()
+        timer = _Timer("flow", key)
+        if flow.endpoint.is_finished:
+            del self._flows[key]
+            self._deadlines.set(timer, None)
+            for job in flow.jobs.values():
+                self._deadlines.set(_Timer("push", job), None)
+                self._slots.withdraw(job)
+            if self._draining:
+                self._note_state()
+        else:
+            self._deadlines.set(timer, flow.endpoint.next_deadline)
+
+    def _on_message(self, flow: _Flow, msg: Message) -> None:
+        if isinstance(msg, Request):
+            self._on_request(flow, msg)
+        elif isinstance(msg, Cancel) and (job := flow.jobs.get(msg.id)):
+            if self._is_idle(job):
+                self._finish(job, complete=True)
+            elif job.request.kind is not Kind.FEED and self._slots.withdraw(job):
+                self._finish(job, complete=False, shed=True)
+            else:
+                job.cancelled = True
+
+    def _on_request(self, flow: _Flow, request: Request) -> None:
+        now = self._clock.monotonic()
+        job = _Job(request, flow, deadline=now + request.timeout_ms / 1000)
+        flow.jobs[request.id] = job
+        admission = self._slots.admit(job, now=now)
+        if admission is Admission.STARTED:
+            self._start(job)
+        elif admission is Admission.SHED:
+            self._finish(job, complete=False, shed=True)
+        elif admission is Admission.OVERLOADED:
+            self.counters["overloaded"] += 1
+            self.restart()
+
+    def _start(self, job: _Job) -> None:
+        now = self._clock.monotonic()
+        if now >= job.deadline:
+            self._finish(job, complete=False, shed=True)
+            self._release()
+            return
+        self._record_request(job, "start")
+        work = WORK_S[job.request.kind] * self._rng.uniform(*WORK_SPREAD)
+        self._deadlines.set(_Timer("work", job), now + work)
+
+    def _release(self) -> None:
+        for job in self._slots.release(now=self._clock.monotonic()):
+            self._start(job)
+
+    def _end_work(self, job: _Job) -> None:
+        if job.request.kind is Kind.FEED and not job.cancelled:
+            self._push(job)
+        else:
+            self._finish(job, complete=True)
+        self._release()
+
+    def _is_idle(self, job: _Job) -> bool:
+        """Whether the job is a feed between two pushes."""
+        return job.pushes > 0
+
+    def _push(self, job: _Job) -> None:
+        flow = job.flow
+        if flow.endpoint.state is not TcpState.OPEN or flow.endpoint.is_closing:
+            return
+        now = self._clock.monotonic()
+        if now >= job.deadline:
+            self._finish(job, complete=False)
+            return
+        job.pushes += 1
+        push = Push(job.request.id, self.service, self.server.name, job.pushes)
+        self._write(flow, push)
+        interval = max(job.request.interval_ms, 1) / 1000
+        self._deadlines.set(_Timer("push", job), now + interval)
+
+    def _finish(self, job: _Job, *, complete: bool, shed: bool = False) -> None:
+        request = job.request
+        job.flow.jobs.pop(request.id, None)
+        self._deadlines.set(_Timer("push", job), None)
+        self._record_request(job, "shed" if shed else "end")
+        self.counters["shed" if shed else "answered"] += 1
+        answer = Answer(
+            id=request.id,
+            service=self.service,
+            server=self.server.name,
+            complete=complete,
+            checksum=request.checksum,
+            shed=shed,
+            pushes=job.pushes,
+            body=bytes(request.answer_bytes if complete else 0),
+        )
+        self._write(job.flow, answer)
+
+    def _write(self, flow: _Flow, msg: Message) -> None:
+        """Write to a flow unless it has ended meanwhile."""
+        key = reverse_key(flow.endpoint.key)
+        if self._flows.get(key) is not flow or flow.endpoint.is_closing:
+            return
+        flow.endpoint.write(encode_message(msg))
+        if flow.endpoint.eof and not flow.jobs:
+            flow.endpoint.close()
+        self._deadlines.set(_Timer("flow", key), flow.endpoint.next_deadline)
+
+    def _cancel_timers(self, job: _Job) -> None:
+        self._deadlines.set(_Timer("work", job), None)
+        self._deadlines.set(_Timer("push", job), None)
+
+    def _record_request(self, job: _Job, phase: str) -> None:
+        self._recorder.record(
+            "request",
+            server=self.server.name,
+            service=self.service,
+            flow=reverse_key(job.flow.endpoint.key).hex(),
+            request=job.request.id,
+            phase=phase,
+            idempotent=job.request.idempotent,
+        )
+
+
+def _kind_of(segment: Segment) -> str:
+    if segment.is_open:
+        return "open"
+    return "payload" if segment.payload else "other"
--- /dev/null
+++ b/src/magnoliaslip/lab/caller.py
@@ -0,0 +1,411 @@
+"""A caller: open-loop load with a record of what became of each call."""
+
+from collections import Counter, deque
+from collections.abc import Callable, Mapping
+from random import Random
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import PacketError
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+from magnoliaslip.lab._session import Call, Session, Timer
+from magnoliaslip.lab.deadlines import DeadlineQueue
+from magnoliaslip.lab.load import LoadConfig, LoadPlan, PlannedRequest
+from magnoliaslip.lab.protocol import (
+    Answer,
+    Cancel,
+    Kind,
+    Message,
+    MessageReader,
+    ProtocolError,
+    Push,
+    Request,
+    encode_message,
+)
+from magnoliaslip.lab.tcp import TcpEndpoint, TcpFailure, TcpState
+from magnoliaslip.packet.flow_key import FlowKey, make_key, reverse_key
+from magnoliaslip.packet.segment import Segment
+
+FIRST_PORT = 1024
+LAST_PORT = 65_535
+RETRY_BACKOFF_S = 0.2  # doubled for each further attempt, jittered by half
+
+
+_ARRIVAL = Timer("arrival")
+
+
+class CallerModel:
+    """Opens flows to service addresses and judges the answers.
+
+    Args:
+        name: Prefix of request identifiers.
+        host: IPv4 address of the caller.
+        services: Service address by service name.
+        clock: Source of time.
+        rng: Source of the load and of sequence numbers.
+        send: Receives each outgoing IP packet.
+        recorder: Receives the history records of a caller.
+        cfg: The load.
+
+    Attributes:
+        counters: ``calls``, ``answered`` and, for calls without a full answer in
+            time, ``failed`` with ``failed_<reason>``; ``refused``, ``shed``,
+            ``retried``; ``flows``, ``flows_established``, ``flows_closed``,
+            ``flows_broken``; ``wrong`` for answers of another service or call.
+        answered_by: Full answers by service and backend server.
+        metrics: Histogram ``answer`` of the time to the full answer, without feeds.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        host: str,
+        services: Mapping[str, Address],
+        *,
+        clock: Clock,
+        rng: Random,
+        send: Callable[[bytes], None],
+        recorder: Recorder | None = None,
+        cfg: LoadConfig | None = None,
+    ) -> None:
+        self.name = name
+        self.counters: Counter[str] = Counter()
+        self.answered_by: Counter[tuple[str, str]] = Counter()
+        self.metrics = Metrics()
+        self._host = host
+        self._services = dict(services)
+        self._clock = clock
+        self._rng = rng
+        self._send = send
+        self._recorder = recorder or NullRecorder()
+        self._cfg = cfg or LoadConfig()
+        self._plan = LoadPlan(self._cfg, list(self._services), rng)
+        self._sessions: set[Session] = set()
+        self._flows: dict[FlowKey, Session] = {}
+        self._closing: dict[FlowKey, TcpEndpoint] = {}
+        self._deadlines: DeadlineQueue[Timer | FlowKey] = DeadlineQueue()
+        self._port = rng.randint(FIRST_PORT, LAST_PORT)
+        self._stopping = False
+
+    @property
+    def next_deadline(self) -> float | None:
+        """When `poll` has work, monotonic seconds."""
+        return self._deadlines.next_deadline
+
+    @property
+    def is_idle(self) -> bool:
+        """Whether no session is under way."""
+        return not self._sessions
+
+    def start(self) -> None:
+        """Begin to open sessions."""
+        self._set_arrival()
+
+    def stop(self) -> None:
+        """Open no more sessions; end feeds and let other requests finish."""
+        self._stopping = True
+        self._deadlines.set(_ARRIVAL, None)
+        for session in list(self._sessions):
+            session.plans.clear()
+            if session.call is None:
+                self._end_session(session)
+            elif session.call.plan.kind is Kind.FEED:
+                self._cancel_feed(session)
+
+    def open_session(self, service: str, plans: list[PlannedRequest]) -> None:
+        """Start one session besides those of the load."""
+        session = Session(service, deque(plans))
+        self._sessions.add(session)
+        self._connect(session)
+        self._next_call(session)
+
+    def on_packet(self, packet: bytes) -> None:
+        """Handle an inner IP packet addressed to this caller."""
+        try:
+            segment = Segment.decode(packet)
+        except PacketError:
+            self.counters["malformed"] += 1
+            return
+        key = reverse_key(segment.key)
+        if session := self._flows.get(key):
+            session.endpoint.on_segment(segment)
+            self._after(session)
+        elif endpoint := self._closing.get(key):
+            endpoint.on_segment(segment)
+            self._after_closing(key, endpoint)
+        else:
+            self.counters["late"] += 1
+
+    def poll(self, now: float) -> None:
+        """Do what is due: arrivals, retransmissions, deadlines, ends of feeds."""
+        for timer in self._deadlines.take_due(now):
+            if isinstance(timer, bytes):
+                self._poll_flow(timer, now)
+            elif timer.kind == "arrival":
+                self.open_session(self._plan.next_service(), self._plan.next_session())
+                self._set_arrival()
+            elif timer.session not in self._sessions:
+                continue
+            elif timer.kind == "deadline":
+                self._on_deadline(timer.session)
+            elif timer.kind == "think":
+                self._send_call(timer.session)
+            elif timer.kind == "hold":
+                self._cancel_feed(timer.session)
+            else:
+                self._connect(timer.session)
+
+    def _set_arrival(self) -> None:
+        if not self._stopping and self._cfg.sessions_per_s > 0:
+            gap = self._plan.next_gap_s()
+            self._deadlines.set(_ARRIVAL, self._clock.monotonic() + gap)
+
+    def _poll_flow(self, key: FlowKey, now: float) -> None:
+        if session := self._flows.get(key):
+            session.endpoint.poll(now)
+            self._after(session)
+        elif endpoint := self._closing.get(key):
+            endpoint.poll(now)
+            self._after_closing(key, endpoint)
+
+    def _connect(self, session: Session) -> None:
+        service = self._services[session.service]
+        while True:
+            self._port = self._port + 1 if self._port < LAST_PORT else FIRST_PORT
+            key = make_key(Address(self._host, self._port), service)
+            if key not in self._flows and key not in self._closing:
+                break
+        session.key = key
+        session.established = False
+        session.reader = MessageReader()
+        self._flows[key] = session
+        self.counters["flows"] += 1
+        self._record(session, "open")
+        session.endpoint = TcpEndpoint(
+            key, clock=self._clock, rng=self._rng, send=self._send
+        )
+        self._deadlines.set(key, session.endpoint.next_deadline)
+
+    def _next_call(self, session: Session) -> None:
+        """Plan the session's next request; its deadline counts from its sending."""
+        plan = session.plans.popleft()
+        now = self._clock.monotonic()
+        self.counters["calls"] += 1
+        call_id = f"{self.name}-{self.counters['calls']}"
+        send_at = now + plan.think_s
+        deadline = send_at + plan.hold_s + self._cfg.timeout_s
+        session.call = Call(call_id, plan, send_at, deadline)
+        self._deadlines.set(Timer("deadline", session), deadline)
+        if plan.think_s:
+            self._deadlines.set(Timer("think", session), send_at)
+        else:
+            self._send_call(session)
+
+    def _send_call(self, session: Session) -> None:
+        call, now = session.call, self._clock.monotonic()
+        if not session.established or call is None or call.request is not None:
+            return
+        plan = call.plan
+        call.pushes = 0
+        call.sent_at = now
+        call.request = Request(
+            id=call.id,
+            kind=plan.kind,
+            idempotent=plan.idempotent,
+            timeout_ms=max(1, int((call.deadline - now) * 1000)),
+            payload=self._rng.randbytes(plan.payload_bytes),
+            answer_bytes=plan.answer_bytes,
+            interval_ms=self._cfg.interval_ms,
+        )
+        self._record(session, "sent")
+        if plan.kind is Kind.FEED:
+            hold = 0.0 if self._stopping else plan.hold_s
+            self._deadlines.set(Timer("hold", session), now + hold)
+        self._write(session, call.request)
+
+    def _write(self, session: Session, msg: Message) -> None:
+        session.endpoint.write(encode_message(msg))
+        self._deadlines.set(session.key, session.endpoint.next_deadline)
+
+    def _cancel_feed(self, session: Session) -> None:
+        call = session.call
+        if session.established and call is not None and call.request is not None:
+            self._write(session, Cancel(call.id))
+
+    def _after(self, session: Session) -> None:
+        """Follow up on what the endpoint of a session did."""
+        endpoint = session.endpoint
+        if endpoint.failure is not None:
+            self._on_failure(session, endpoint.failure)
+            return
+        if not session.established and endpoint.state is TcpState.OPEN:
+            session.established = True
+            self.counters["flows_established"] += 1
+            self._record(session, "established")
+            if session.call and self._clock.monotonic() >= session.call.send_at:
+                self._send_call(session)
+        try:
+            messages = session.reader.feed(endpoint.read())
+        except ProtocolError:
+            self.counters["wrong"] += 1
+            endpoint.abort()
+            self._on_failure(session, TcpFailure.ABORTED)
+            return
+        for msg in messages:
+            self._on_message(session, msg)
+        if session.endpoint is endpoint and endpoint.eof and session.call:
+            # The server closed with a call open: its answer cannot come any more.
+            endpoint.abort()
+            self._on_failure(session, TcpFailure.RESET)
+        elif session.endpoint is endpoint:
+            self._deadlines.set(session.key, endpoint.next_deadline)
+
+    def _on_message(self, session: Session, msg: Message) -> None:
+        call = session.call
+        if call is None or call.request is None or msg.id != call.id:
+            self.counters["wrong"] += 1
+        elif isinstance(msg, Push):
+            call.pushes += 1
+            if msg.number != call.pushes or msg.service != session.service:
+                self.counters["wrong"] += 1
+        elif isinstance(msg, Answer):
+            self._on_answer(session, call, msg)
+
+    def _on_answer(self, session: Session, call: Call, answer: Answer) -> None:
+        if answer.shed:
+            self.counters["shed"] += 1
+            self._retry(session, "shed")
+            return
+        own = answer.service == session.service
+        full = (
+            own
+            and answer.complete
+            and answer.checksum == call.request.checksum
+            and len(answer.body) == call.plan.answer_bytes
+            and answer.pushes == call.pushes
+        )
+        self._record(session, "answered", complete=full, answered_by=answer.server)
+        if not own:
+            self.counters["wrong"] += 1
+        if full:
+            self.counters["answered"] += 1
+            self.answered_by[session.service, answer.server] += 1
+            if call.plan.kind is not Kind.FEED:
+                elapsed = self._clock.monotonic() - call.sent_at
+                self.metrics.observe_us("answer", elapsed * 1e6)
+        else:
+            self._count_failure("incomplete")
+        self._end_call(session)
+        if session.plans:
+            self._next_call(session)
+        else:
+            self._end_session(session)
+
+    def _on_deadline(self, session: Session) -> None:
+        self._record(session, "timeout")
+        self._count_failure("timeout")
+        self._end_call(session)
+        if session.established:
+            self.counters["flows_broken"] += 1
+        if session.key in self._flows:
+            session.endpoint.abort()
+        self._drop_flow(session)
+        self._go_on(session)
+
+    def _on_failure(self, session: Session, failure: TcpFailure) -> None:
+        refused = failure is TcpFailure.REFUSED
+        reset = failure is not TcpFailure.TIMEOUT
+        phase = "refused" if refused else "reset" if reset else "timeout"
+        self._record(session, phase)
+        if refused:
+            self.counters["refused"] += 1
+        elif session.established:
+            self.counters["flows_broken"] += 1
+        idle = session.established and session.call and not session.call.request
+        self._drop_flow(session)
+        if session.call is None:
+            self._go_on(session)
+        elif idle:
+            self._connect(session)  # nothing was sent, so this is no retry
+        else:
+            self._retry(session, phase)
+
+    def _retry(self, session: Session, reason: str) -> None:
+        """Try the present call again if that is allowed, else count its failure."""
+        call, now = session.call, self._clock.monotonic()
+        backoff = RETRY_BACKOFF_S * 2 ** (call.attempt - 1)
+        retry_at = now + backoff * self._rng.uniform(0.5, 1.5)
+        not_run = reason in ("refused", "shed")
+        allowed = call.plan.idempotent or (self._cfg.retry_refused and not_run)
+        if not allowed or call.attempt >= self._cfg.attempts:
+            self._count_failure(reason)
+            self._end_call(session)
+            self._go_on(session)
+        elif retry_at < call.deadline:
+            call.attempt += 1
+            call.request = None
+            self.counters["retried"] += 1
+            self._deadlines.set(Timer("hold", session), None)
+            kind = "think" if session.established else "connect"
+            self._deadlines.set(Timer(kind, session), retry_at)
+
+    def _go_on(self, session: Session) -> None:
+        """Continue a session after a failed call, on a new flow if needed."""
+        if not session.plans:
+            self._end_session(session)
+            return
+        if session.key not in self._flows:
+            self._connect(session)
+        self._next_call(session)
+
+    def _end_call(self, session: Session) -> None:
+        session.call = None
+        for kind in ("deadline", "think", "hold", "connect"):
+            self._deadlines.set(Timer(kind, session), None)
+
+    def _drop_flow(self, session: Session) -> None:
+        self._flows.pop(session.key, None)
+        self._deadlines.set(session.key, None)
+        session.established = False
+
+    def _end_session(self, session: Session) -> None:
+        """Close the flow; its endpoint stays until FIN was exchanged both ways."""
+        self._sessions.discard(session)
+        self._end_call(session)
+        if self._flows.pop(session.key, None) is None:
+            return
+        self._record(session, "closed")
+        self.counters["flows_closed"] += 1
+        session.endpoint.close()
+        self._closing[session.key] = session.endpoint
+        self._after_closing(session.key, session.endpoint)
+
+    def _after_closing(self, key: FlowKey, endpoint: TcpEndpoint) -> None:
+        if endpoint.is_finished:
+            del self._closing[key]
+            self._deadlines.set(key, None)
+        else:
+            self._deadlines.set(key, endpoint.next_deadline)
+
+    def _count_failure(self, reason: str) -> None:
+        self.counters["failed"] += 1
+        self.counters[f"failed_{reason}"] += 1
+
+    def _record(
+        self,
+        session: Session,
+        phase: str,
+        *,
+        complete: bool = False,
+        answered_by: str = "",
+    ) -> None:
+        self._recorder.record(
+            "call",
+            flow=session.key.hex(),
+            request=session.call.id if session.call else "",
+            service=session.service,
+            phase=phase,
+            complete=complete,
+            answered_by=answered_by,
+        )
--- /dev/null
+++ b/src/magnoliaslip/lab/load.py
@@ -0,0 +1,125 @@
+"""The load that a caller makes: a seeded mix of requests grouped into sessions."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from random import Random
+
+from magnoliaslip.lab.protocol import Kind
+
+IDEMPOTENT = frozenset({Kind.FEED, Kind.STATUS, Kind.UPLOAD})
+UPLOAD_BYTES = (2_000, 40_000)
+ORDER_BYTES = (100, 800)
+ANSWER_BYTES = (50, 4_000)
+DEFAULT_MIX: Mapping[Kind, float] = {
+    Kind.FEED: 2,
+    Kind.ORDER: 3,
+    Kind.REPORT: 1,
+    Kind.UPLOAD: 1,
+    Kind.STATUS: 3,
+}
+
+
+@dataclass(slots=True, frozen=True)
+class LoadConfig:
+    """The load of one caller.
+
+    Attributes:
+        sessions_per_s: Mean rate at which sessions start, whatever is outstanding.
+        requests: Bounds of the number of requests per session.
+        think_s: Bounds of the pause between two requests of a session.
+        feed_s: Bounds of the time that a feed stays open.
+        interval_ms: Time between two pushes of a feed.
+        timeout_s: Time within which a request must be answered in full; for a feed,
+            counted from its end.
+        attempts: How often an idempotent request is tried.
+        retry_refused: Whether a refused open is also retried for requests that are
+            not idempotent, relying on the refusal's "not run".
+        mix: Weight of each kind of request.
+        weights: Weight of each service; 1 where not given.
+    """
+
+    sessions_per_s: float = 10.0
+    requests: tuple[int, int] = (1, 4)
+    think_s: tuple[float, float] = (0.1, 1.0)
+    feed_s: tuple[float, float] = (5.0, 60.0)
+    interval_ms: int = 1_000
+    timeout_s: float = 10.0
+    attempts: int = 3
+    retry_refused: bool = False
+    mix: Mapping[Kind, float] = field(default_factory=lambda: dict(DEFAULT_MIX))
+    weights: Mapping[str, float] = field(default_factory=dict)
+
+
+@dataclass(slots=True, frozen=True)
+class PlannedRequest:
+    """A request before it is sent.
+
+    Attributes:
+        kind: What is asked for.
+        payload_bytes: Size of its body.
+        answer_bytes: Size of the body of the answer.
+        hold_s: How long a feed stays open; 0 for other kinds.
+        think_s: Pause before the request.
+    """
+
+    kind: Kind
+    payload_bytes: int
+    answer_bytes: int
+    hold_s: float
+    think_s: float
+
+    @property
+    def idempotent(self) -> bool:
+        """Whether the request may run twice."""
+        return self.kind in IDEMPOTENT
+
+
+class LoadPlan:
+    """Draws sessions.
+
+    >>> plan = LoadPlan(LoadConfig(), ["rota"], Random(1))
+    >>> plan.next_service()
+    'rota'
+    >>> all(req.payload_bytes >= 0 for req in plan.next_session())
+    True
+    """
+
+    __slots__ = ("_cfg", "_rng", "_services", "_weights")
+
+    def __init__(self, cfg: LoadConfig, services: list[str], rng: Random) -> None:
+        self._cfg = cfg
+        self._rng = rng
+        self._services = services
+        self._weights = [cfg.weights.get(service, 1.0) for service in services]
+
+    def next_gap_s(self) -> float:
+        """Return the time until the next session starts."""
+        return self._rng.expovariate(self._cfg.sessions_per_s)
+
+    def next_service(self) -> str:
+        """Return the service of the next session."""
+        return self._rng.choices(self._services, self._weights)[0]
+
+    def next_session(self) -> list[PlannedRequest]:
+        """Return the requests of one session in order."""
+        count = self._rng.randint(*self._cfg.requests)
+        kinds = self._rng.choices(
+            list(self._cfg.mix), list(self._cfg.mix.values()), k=count
+        )
+        return [self._plan(kind, first=at == 0) for at, kind in enumerate(kinds)]
+
+    def _plan(self, kind: Kind, *, first: bool) -> PlannedRequest:
+        rng, cfg = self._rng, self._cfg
+        if kind is Kind.UPLOAD:
+            payload = rng.randint(*UPLOAD_BYTES)
+        elif kind in (Kind.ORDER, Kind.REPORT):
+            payload = rng.randint(*ORDER_BYTES)
+        else:
+            payload = 0
+        return PlannedRequest(
+            kind=kind,
+            payload_bytes=payload,
+            answer_bytes=rng.randint(*ANSWER_BYTES),
+            hold_s=rng.uniform(*cfg.feed_s) if kind is Kind.FEED else 0.0,
+            think_s=0.0 if first else rng.uniform(*cfg.think_s),
+        )
--- /dev/null
+++ b/src/magnoliaslip/lab/slots.py
@@ -0,0 +1,115 @@
+"""The slots of a backend server and its cold start."""
+
+from collections import deque
+from dataclasses import dataclass
+from enum import Enum, auto
+from typing import Generic, TypeVar
+
+T = TypeVar("T")
+
+
+@dataclass(slots=True, frozen=True)
+class SlotConfig:
+    """How much work a backend server bears.
+
+    Attributes:
+        slots: Requests at a time when warm.
+        queue: Requests that wait for a slot when warm.
+        cold_bears: Requests at a time right after a cold start.
+        warm_up_s: Seconds over which the number rises to ``slots``.
+        fails_over: Whether load over what a cold server bears makes it fail.
+    """
+
+    slots: int = 4
+    queue: int = 8
+    cold_bears: int = 2
+    warm_up_s: float = 15.0
+    fails_over: bool = True
+
+
+class Admission(Enum):
+    """What became of a request."""
+
+    STARTED = auto()
+    QUEUED = auto()
+    SHED = auto()
+    OVERLOADED = auto()
+
+
+class Slots(Generic[T]):
+    """Requests in progress and waiting.
+
+    >>> slots = Slots(SlotConfig(slots=1, queue=1))
+    >>> [slots.admit(item, now=0.0).name for item in "abc"]
+    ['STARTED', 'QUEUED', 'SHED']
+    >>> slots.release(now=1.0)
+    ['b']
+    """
+
+    __slots__ = ("_cfg", "_cold_since", "_waiting", "running")
+
+    def __init__(self, cfg: SlotConfig) -> None:
+        self._cfg = cfg
+        self._cold_since: float | None = None
+        self._waiting: deque[T] = deque()
+        self.running = 0
+
+    @property
+    def load(self) -> float:
+        """Requests in progress and waiting, relative to the slots."""
+        return (self.running + len(self._waiting)) / self._cfg.slots
+
+    @property
+    def is_full(self) -> bool:
+        """Whether a further request would be shed by a warm server."""
+        return self.running + len(self._waiting) >= self._cfg.slots + self._cfg.queue
+
+    def restart(self, *, cold_since: float | None) -> None:
+        """Forget all requests; None starts warm."""
+        self._waiting.clear()
+        self.running = 0
+        self._cold_since = cold_since
+
+    def is_cold(self, now: float) -> bool:
+        """Whether the warm-up goes on."""
+        if self._cold_since is None:
+            return False
+        if now - self._cold_since >= self._cfg.warm_up_s:
+            self._cold_since = None
+        return self._cold_since is not None
+
+    def bears(self, now: float) -> int:
+        """Return the requests at a time that the server bears now."""
+        if not self.is_cold(now):
+            return self._cfg.slots
+        ramp = (now - self._cold_since) / self._cfg.warm_up_s
+        bears = max(self._cfg.cold_bears, int(self._cfg.slots * ramp))
+        return min(bears, self._cfg.slots)
+
+    def admit(self, item: T, *, now: float) -> Admission:
+        """Start, queue or shed a request; a cold server does not queue."""
+        if self.running < self.bears(now):
+            self.running += 1
+            return Admission.STARTED
+        if self.is_cold(now):
+            return Admission.OVERLOADED if self._cfg.fails_over else Admission.SHED
+        if len(self._waiting) >= self._cfg.queue:
+            return Admission.SHED
+        self._waiting.append(item)
+        return Admission.QUEUED
+
+    def withdraw(self, item: T) -> bool:
+        """Remove a waiting request; False when it does not wait."""
+        if item not in self._waiting:
+            return False
+        self._waiting.remove(item)
+        return True
+
+    def release(self, *, now: float) -> list[T]:
+        """End one request and return the waiting ones that start."""
+        self.running -= 1
+        started = []
+        while self._waiting and self.running < self.bears(now):
+            started.append(self._waiting.popleft())
+            self.running += 1
+        return started
--- /dev/null
+++ b/tests/lab/virtual_net.py
@@ -0,0 +1,71 @@
+"""A network in virtual time between endpoints, with loss, delay and reordering."""
+
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.core.recorder import Recorder
+
+
+class ListRecorder(Recorder):
+    """Keeps records in a list."""
+
+    def __init__(self):
+        self.records = []
+
+    def record(self, kind, **fields):
+        self.records.append((kind, fields))
+
+    def of(self, kind, **match):
+        return [
+            fields
+            for name, fields in self.records
+            if name == kind and match.items() <= fields.items()
+        ]
+
+
+class VirtualNet:
+    """Delivers packets and polls models in the order of their deadlines."""
+
+    def __init__(self, *, seed=1, loss=0.0, delay=(0.001, 0.001), copies=0.0):
+        self.clock = ManualClock()
+        self.rng = Random(seed)
+        self.loss, self.delay, self.copies = loss, delay, copies
+        self.models = []
+        self.sent = 0
+        self._queue = []
+        self._numbers = count()
+
+    def link(self, deliver):
+        """Return a sender whose packets reach ``deliver()`` later or never."""
+
+        def send(packet):
+            self.sent += 1
+            for _ in range(2 if self.rng.random() < self.copies else 1):
+                if self.rng.random() >= self.loss:
+                    due = self.clock.monotonic() + self.rng.uniform(*self.delay)
+                    entry = (due, next(self._numbers), deliver, packet)
+                    heappush(self._queue, entry)
+
+        return send
+
+    def run(self, seconds, until=None):
+        """Advance the time; stop early when ``until()`` holds."""
+        end = self.clock.monotonic() + seconds
+        while not (until and until()):
+            due = [model.next_deadline for model in self.models]
+            due = [deadline for deadline in due if deadline is not None]
+            if self._queue:
+                due.append(self._queue[0][0])
+            now = self.clock.monotonic()
+            if not due or min(due) > end:
+                self.clock.advance(end - now)
+                return
+            self.clock.advance(max(0.0, min(due) - now))
+            now = self.clock.monotonic()
+            while self._queue and self._queue[0][0] <= now:
+                _, _, deliver, packet = heappop(self._queue)
+                deliver(packet)
+            for model in self.models:
+                model.poll(now)
