--- /dev/null
+++ b/src/magnoliaslip/lab/deployment.py
@@ -0,0 +1,179 @@
+"""The deployments that the lab sets up."""
+
+from collections.abc import Collection, Mapping
+from dataclasses import dataclass
+
+from magnoliaslip.config.snapshot import BackendServer
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.group import InstanceEntry
+
+CONNECTIONS = 2000
+INSTANCES = 7
+
+
+@dataclass(slots=True, frozen=True)
+class ServicePlan:
+    """A service of a deployment.
+
+    Attributes:
+        name: Name of the service.
+        address: Its service address.
+        prefix: Prefix of the names of its backend servers.
+        servers: Number of backend servers.
+    """
+
+    name: str
+    address: Address
+    prefix: str
+    servers: int
+
+
+@dataclass(slots=True, frozen=True)
+class Deployment:
+    """Availability zones, services and distances.
+
+    Attributes:
+        name: Name on the command line.
+        zones: Names of the availability zones.
+        services: The services.
+        slots: Slots of each backend server.
+        zone_delay_s: One-way delay between two zones, in seconds.
+        caller_delay_s: One-way delay between callers and zones, in seconds.
+    """
+
+    name: str
+    zones: tuple[str, ...]
+    services: tuple[ServicePlan, ...]
+    slots: int
+    zone_delay_s: float
+    caller_delay_s: float
+
+    def servers(self, service: ServicePlan) -> list[tuple[str, str]]:
+        """Return name and zone of each backend server of a service.
+
+        >>> DEPLOYMENTS["sicily"].servers(DEPLOYMENTS["sicily"].services[1])
+        [('ar-1', 'a'), ('ar-2', 'b'), ('ar-3', 'c')]
+        """
+        return [
+            (f"{service.prefix}-{n + 1}", self.zones[n % len(self.zones)])
+            for n in range(service.servers)
+        ]
+
+    def instances(self) -> list[tuple[str, str]]:
+        """Return identifier and zone of each instance."""
+        return [
+            (f"i{n + 1}", self.zones[n % len(self.zones)]) for n in range(INSTANCES)
+        ]
+
+
+DEPLOYMENTS: Mapping[str, Deployment] = {
+    "karaganda": Deployment(
+        name="karaganda",
+        zones=("a", "b", "c", "d"),
+        services=(
+            ServicePlan("kit-desk", Address("198.51.100.10", 443), "kd", 7),
+            ServicePlan("spawn-lab", Address("198.51.100.11", 443), "sl", 4),
+        ),
+        slots=4,
+        zone_delay_s=0.003,
+        caller_delay_s=0.001,
+    ),
+    "sicily": Deployment(
+        name="sicily",
+        zones=("a", "b", "c"),
+        services=(
+            ServicePlan("rota", Address("198.51.100.20", 443), "ro", 7),
+            ServicePlan("archivio", Address("198.51.100.21", 443), "ar", 3),
+        ),
+        slots=2,
+        zone_delay_s=0.005,
+        caller_delay_s=0.003,
+    ),
+}
+
+
+class Tables:
+    """The values that operators publish, with rising versions.
+
+    Args:
+        deployment: The deployment.
+        servers: Backend servers by service.
+    """
+
+    def __init__(
+        self, deployment: Deployment, servers: Mapping[str, Collection[BackendServer]]
+    ) -> None:
+        self.servers = {service: list(pool) for service, pool in servers.items()}
+        self.zones_out: set[str] = set()
+        self.instances: list[InstanceEntry] = []
+        self._deployment = deployment
+        self._version = 0
+        self._instances_version = 0
+        self._versions: dict[str, int] = {}
+
+    @property
+    def version(self) -> int:
+        """Version of the last index."""
+        return self._version
+
+    def change(self, *keys: str) -> dict[str, object]:
+        """Return new values for the keys and the index that names them, in order.
+
+        Args:
+            keys: Of ``routes/0``, ``pools/0`` and ``zones``; all when empty.
+        """
+        self._version += 1
+        values: dict[str, object] = {}
+        for key in keys or ("routes/0", "pools/0", "zones"):
+            self._versions[key] = self._version
+            values[key] = {"version": self._version, **self._content(key)}
+        values["index"] = {"version": self._version, "values": dict(self._versions)}
+        return values
+
+    def instance_list(self) -> dict[str, object]:
+        """Return the next value of ``instances``, which the platform writes itself."""
+        self._instances_version += 1
+        lines = [
+            {
+                "id": entry.id,
+                "zone": entry.zone,
+                "data": str(entry.data),
+                "control": str(entry.control),
+                "state": "leaving" if entry.leaving else "live",
+            }
+            for entry in self.instances
+        ]
+        return {"version": self._instances_version, "instances": lines}
+
+    def _content(self, key: str) -> dict[str, object]:
+        if key == "zones":
+            out = self.zones_out
+            states = {z: "out" if z in out else "in" for z in self._deployment.zones}
+            return {"zones": states}
+        if key == "pools/0":
+            pools = [
+                {"service": service, "servers": [_server_line(s) for s in servers]}
+                for service, servers in self.servers.items()
+            ]
+            return {"pools": pools}
+        routes = [
+            {
+                "address": service.address.host,
+                "port": service.address.port,
+                "service": service.name,
+            }
+            for service in self._deployment.services
+        ]
+        return {"routes": routes}
+
+
+def _server_line(server: BackendServer) -> dict[str, object]:
+    return {
+        "name": server.name,
+        "address": server.address.host,
+        "port": server.address.port,
+        "zone": server.zone,
+        "slots": server.slots,
+        "connections": server.connections,
+        "drain": server.drain,
+    }
--- /dev/null
+++ b/src/magnoliaslip/lab/fabric.py
@@ -0,0 +1,173 @@
+"""The router fabric: sprays packets at random over the live instances."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass
+from heapq import heappop, heappush
+from itertools import count
+from random import Random
+
+from msgspec import Struct
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.group import InstanceEntry
+
+CALLERS = "callers"  # the place of callers, beside the availability zones
+LOCAL_DELAY_S = 0.0002  # inside an availability zone
+NOTICE_S = 1.0  # until routers notice that a path is cut
+IMMEDIATE_S = 0.0005  # timers are no more precise; shorter delays are left out
+JITTER = 0.2  # of the delay
+
+
+class PathRule(Struct, frozen=True, forbid_unknown_fields=True):
+    """A disturbance of the path from one place to another.
+
+    Attributes:
+        loss: Share of packets lost, 0 to 1.
+        delay_s: Delay added to the usual one.
+        cut: Whether nothing passes.
+    """
+
+    loss: float = 0.0
+    delay_s: float = 0.0
+    cut: bool = False
+
+
+@dataclass(slots=True, frozen=True)
+class ServerPort:
+    """A backend server behind the fabric."""
+
+    zone: str
+    tunnel: Address
+
+
+class FabricModel:
+    """Carries packets between callers, instances and backend servers.
+
+    Args:
+        clock: Source of time.
+        rng: Source of the spraying, loss and jitter.
+        send: Sends a packet to an address.
+        zone_delay_s: One-way delay between two availability zones, in seconds.
+        caller_delay_s: One-way delay between callers and zones, in seconds.
+
+    Attributes:
+        counters: Packets by what became of them; ``sprayed_<instance>`` by instance.
+    """
+
+    def __init__(
+        self,
+        *,
+        clock: Clock,
+        rng: Random,
+        send: Callable[[bytes, Address], object],
+        zone_delay_s: float = 0.0,
+        caller_delay_s: float = 0.0,
+    ) -> None:
+        self.counters: Counter[str] = Counter()
+        self._clock = clock
+        self._rng = rng
+        self._send = send
+        self._zone_delay_s = zone_delay_s
+        self._caller_delay_s = caller_delay_s
+        self._instances: list[InstanceEntry] = []
+        self._zone_of: dict[Address, str] = {}
+        self._servers: dict[str, ServerPort] = {}
+        self._callers: dict[bytes, Address] = {}
+        self._rules: dict[tuple[str, str], PathRule] = {}
+        self._cut_since: dict[tuple[str, str], float] = {}
+        self._queue: list[tuple[float, int, bytes, Address]] = []
+        self._numbers = count()
+
+    @property
+    def next_deadline(self) -> float | None:
+        """When `poll` has a packet to send, monotonic seconds."""
+        return self._queue[0][0] if self._queue else None
+
+    def set_instances(self, entries: Sequence[InstanceEntry]) -> None:
+        """Spray over the entries that are not leaving, from now on."""
+        self._instances = [entry for entry in entries if not entry.leaving]
+        # A leaving instance still sends, so its zone stays known.
+        self._zone_of.update({entry.data: entry.zone for entry in entries})
+
+    def add_server(self, name: str, port: ServerPort) -> None:
+        """Connect a backend server, or replace its address."""
+        self._servers[name] = port
+        self._zone_of[port.tunnel] = port.zone
+
+    def add_caller(self, host: bytes, address: Address) -> None:
+        """Connect a caller by the packed IPv4 address of its flows."""
+        self._callers[host] = address
+
+    def set_rules(self, rules: Mapping[tuple[str, str], PathRule]) -> None:
+        """Replace the disturbances, by source and destination place."""
+        now = self._clock.monotonic()
+        cuts = {path for path, rule in rules.items() if rule.cut}
+        self._cut_since = {path: self._cut_since.get(path, now) for path in cuts}
+        self._rules = dict(rules)
+
+    def from_caller(self, packet: bytes) -> None:
+        """Hand a request packet to any instance."""
+        self._spray(CALLERS, packet)
+
+    def from_server(self, packet: bytes, source: Address) -> None:
+        """Hand an answer packet to any instance that the server's zone reaches."""
+        zone = self._zone_of.get(source)
+        if zone is None:
+            self.counters["unknown_source"] += 1
+        else:
+            self._spray(zone, packet)
+
+    def to_server(self, name: str, packet: bytes, source: Address) -> None:
+        """Carry a packet from an instance to a backend server."""
+        server = self._servers[name]
+        self._carry(self._zone_of.get(source, ""), server.zone, packet, server.tunnel)
+
+    def to_caller(self, packet: bytes, source: Address) -> None:
+        """Carry a packet from an instance to the caller it is addressed to."""
+        caller = self._callers.get(packet[16:20])
+        if caller is None:
+            self.counters["unknown_caller"] += 1
+        else:
+            self._carry(self._zone_of.get(source, ""), CALLERS, packet, caller)
+
+    def poll(self, now: float) -> None:
+        """Send the packets whose delay is over."""
+        while self._queue and self._queue[0][0] <= now:
+            _, _, packet, address = heappop(self._queue)
+            self._send(packet, address)
+
+    def _spray(self, place: str, packet: bytes) -> None:
+        instances = self._instances
+        if self._cut_since:
+            noticed = self._clock.monotonic() - NOTICE_S
+            cut = {path for path, since in self._cut_since.items() if since <= noticed}
+            instances = [e for e in instances if (place, e.zone) not in cut]
+        if not instances:
+            self.counters["no_instance"] += 1
+            return
+        entry = instances[int(self._rng.random() * len(instances))]
+        self.counters["sprayed"] += 1
+        self.counters[f"sprayed_{entry.id}"] += 1
+        self._carry(place, entry.zone, packet, entry.data)
+
+    def _carry(self, src: str, dst: str, packet: bytes, address: Address) -> None:
+        rule = self._rules.get((src, dst))
+        delay = self._delay_s(src, dst)
+        if rule is not None:
+            if rule.cut or self._rng.random() < rule.loss:
+                self.counters["cut" if rule.cut else "lost"] += 1
+                return
+            delay += rule.delay_s
+        delay *= 1 + JITTER * self._rng.random()
+        if delay < IMMEDIATE_S:
+            self._send(packet, address)
+        else:
+            due = self._clock.monotonic() + delay
+            heappush(self._queue, (due, next(self._numbers), packet, address))
+
+    def _delay_s(self, src: str, dst: str) -> float:
+        if src == dst:
+            return LOCAL_DELAY_S
+        return self._caller_delay_s if CALLERS in (src, dst) else self._zone_delay_s
--- /dev/null
+++ b/src/magnoliaslip/lab/fabric_process.py
@@ -0,0 +1,163 @@
+"""The process of the router fabric."""
+
+from collections.abc import Sequence
+from contextlib import ExitStack
+from functools import partial
+from ipaddress import ip_address
+from pathlib import Path
+from random import Random
+from socket import socket as Socket  # noqa: N812
+
+from anyio import create_task_group
+from msgspec import Struct, convert
+from msgspec.json import decode
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.group import InstanceEntry
+from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
+from magnoliaslip.lab.fabric import FabricModel, PathRule, ServerPort
+from magnoliaslip.lab.http_server import HttpAnswer, HttpRequest, serve_http
+from magnoliaslip.lab.model_loop import run_timers, send_to
+
+
+class ServerLine(Struct, frozen=True, forbid_unknown_fields=True):
+    """A backend server: instances send to ``front``, it listens on ``tunnel``."""
+
+    name: str
+    zone: str
+    front: str
+    tunnel: str
+
+
+class CallerLine(Struct, frozen=True, forbid_unknown_fields=True):
+    """A caller: its IPv4 address in flows and its UDP address."""
+
+    host: str
+    address: str
+
+
+class FabricSettings(Struct, frozen=True, forbid_unknown_fields=True):
+    """Settings of the fabric.
+
+    Attributes:
+        callers: Where callers send packets.
+        returns: Where backend servers send answers.
+        egress: Where instances send packets for callers.
+        admin: Lab-only endpoint over HTTP.
+        zone_delay_s: One-way delay between two availability zones, in seconds.
+        caller_delay_s: One-way delay between callers and zones, in seconds.
+        servers: The backend servers.
+        caller_lines: The callers.
+        seed: Seed of the random source.
+    """
+
+    callers: str
+    returns: str
+    egress: str
+    admin: str
+    zone_delay_s: float
+    caller_delay_s: float
+    servers: list[ServerLine]
+    caller_lines: list[CallerLine]
+    seed: int = 1
+
+
+class InstanceLine(Struct, frozen=True, forbid_unknown_fields=True):
+    """An instance as the lab states it to the fabric."""
+
+    id: str
+    zone: str
+    data: str
+    leaving: bool = False
+
+
+class RuleLine(Struct, frozen=True, forbid_unknown_fields=True):
+    """A disturbance of the path between two places in one direction."""
+
+    src: str
+    dst: str
+    rule: PathRule
+
+
+class FabricProcess:
+    """Opens the sockets of the fabric and serves its endpoint."""
+
+    def __init__(self, settings: FabricSettings) -> None:
+        self._settings = settings
+        self._clock = SystemClock()
+
+    @classmethod
+    def load(cls, path: Path) -> "FabricProcess":
+        """Read the settings file that the lab wrote."""
+        return cls(decode(path.read_bytes(), type=FabricSettings))
+
+    async def run(self) -> None:
+        """Serve until cancelled."""
+        settings = self._settings
+        with ExitStack() as stack:
+            opened = partial(self._open, stack)
+            callers = opened(settings.callers)
+            returns = opened(settings.returns)
+            egress = opened(settings.egress)
+            model = FabricModel(
+                clock=self._clock,
+                rng=Random(settings.seed),
+                send=partial(_send, egress),
+                zone_delay_s=settings.zone_delay_s,
+                caller_delay_s=settings.caller_delay_s,
+            )
+            for line in settings.caller_lines:
+                host = ip_address(line.host).packed
+                model.add_caller(host, Address.parse(line.address))
+            async with create_task_group() as tasks:
+                for line in settings.servers:
+                    tunnel = Address.parse(line.tunnel)
+                    model.add_server(line.name, ServerPort(line.zone, tunnel))
+                    handle = partial(model.to_server, line.name)
+                    tasks.start_soon(read_batches_from, opened(line.front), handle)
+                handle_batch = partial(_hand_on, model)
+                tasks.start_soon(read_batches, callers, handle_batch)
+                tasks.start_soon(read_batches_from, returns, model.from_server)
+                tasks.start_soon(read_batches_from, egress, model.to_caller)
+                tasks.start_soon(run_timers, model, self._clock)
+                admin = Address.parse(settings.admin)
+                await tasks.start(serve_http, admin, partial(_handle, model))
+                print("ready fabric", flush=True)
+
+    @staticmethod
+    def _open(stack: ExitStack, address: str) -> Socket:
+        return stack.enter_context(open_udp(Address.parse(address)))
+
+
+def _hand_on(model: FabricModel, batch: Sequence[bytes]) -> None:
+    for packet in batch:
+        model.from_caller(packet)
+
+
+def _send(sock: Socket, packet: bytes, address: Address) -> None:
+    send_to(sock, packet, address)
+
+
+async def _handle(model: FabricModel, req: HttpRequest) -> HttpAnswer:
+    if req.path == "/lab/counters":
+        return HttpAnswer.json(model.counters)
+    if req.method == "PUT" and req.path == "/lab/instances":
+        model.set_instances(
+            [
+                InstanceEntry(
+                    id=line.id,
+                    zone=line.zone,
+                    data=Address.parse(line.data),
+                    control=Address.parse(line.data),
+                    leaving=line.leaving,
+                )
+                for line in convert(decode(req.body), list[InstanceLine])
+            ]
+        )
+        return HttpAnswer.json({})
+    if req.method == "PUT" and req.path == "/lab/rules":
+        lines = convert(decode(req.body), list[RuleLine])
+        model.set_rules({(line.src, line.dst): line.rule for line in lines})
+        return HttpAnswer.json({})
+    return HttpAnswer.json({"error": "no such path"}, status=404)
--- /dev/null
+++ b/src/magnoliaslip/lab/http_server.py
@@ -0,0 +1,148 @@
+"""A small HTTP/1.1 server for the stand-ins: ``h11`` on ``anyio``."""
+
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from dataclasses import dataclass, field
+from logging import getLogger
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+from anyio import (
+    TASK_STATUS_IGNORED,
+    BrokenResourceError,
+    ClosedResourceError,
+    EndOfStream,
+    create_tcp_listener,
+)
+from anyio.abc import SocketStream, TaskStatus
+from h11 import (
+    DONE,
+    NEED_DATA,
+    PAUSED,
+    SERVER,
+    Connection,
+    ConnectionClosed,
+    Data,
+    EndOfMessage,
+    LocalProtocolError,
+    RemoteProtocolError,
+    Request,
+    Response,
+)
+from msgspec.json import encode
+
+from magnoliaslip.core.address import Address
+
+RECEIVE_BYTES = 65_536
+MAX_BODY_BYTES = 2 << 20
+
+logger = getLogger(__name__)
+
+
+@dataclass(slots=True, frozen=True)
+class HttpRequest:
+    """A request as a handler sees it."""
+
+    method: str
+    path: str
+    query: dict[str, str] = field(default_factory=dict)
+    body: bytes = b""
+
+
+@dataclass(slots=True, frozen=True)
+class HttpAnswer:
+    """What a handler answers."""
+
+    status: int = 200
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+
+    @classmethod
+    def json(cls, value: object, *, status: int = 200) -> "HttpAnswer":
+        """Build an answer with a JSON body.
+
+        >>> HttpAnswer.json({"ok": True}).body
+        b'{"ok":true}'
+        """
+        return cls(status, encode(value), (("Content-Type", "application/json"),))
+
+
+class DropConnection(Exception):  # noqa: N818
+    """Raised by a handler to close the connection without an answer."""
+
+
+Handler = Callable[[HttpRequest], Awaitable[HttpAnswer]]
+
+
+async def serve_http(
+    address: Address,
+    handler: Handler,
+    *,
+    task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
+) -> None:
+    """Serve until cancelled; one task per connection."""
+
+    async def serve_connection(stream: SocketStream) -> None:
+        async with stream:
+            with suppress(
+                DropConnection,
+                EndOfStream,
+                BrokenResourceError,
+                ClosedResourceError,
+                RemoteProtocolError,
+                LocalProtocolError,
+            ):
+                await _serve_requests(stream, handler)
+
+    listener = await create_tcp_listener(
+        local_host=address.host, local_port=address.port
+    )
+    async with listener:
+        task_status.started()
+        await listener.serve(serve_connection)
+
+
+async def _serve_requests(stream: SocketStream, handler: Handler) -> None:
+    conn = Connection(SERVER)
+    while True:
+        req = await _receive_request(conn, stream)
+        if req is None:
+            return
+        try:
+            answer = await handler(req)
+        except (ValueError, KeyError) as exc:
+            answer = HttpAnswer.json({"error": str(exc)}, status=400)
+        headers = [*answer.headers, ("Content-Length", str(len(answer.body)))]
+        data = conn.send(Response(status_code=answer.status, headers=headers))
+        if answer.status != 304:
+            data += conn.send(Data(answer.body))
+        await stream.send(data + conn.send(EndOfMessage()))
+        if conn.our_state is not DONE or conn.their_state is not DONE:
+            return
+        conn.start_next_cycle()
+
+
+async def _receive_request(
+    conn: Connection, stream: SocketStream
+) -> HttpRequest | None:
+    head: Request | None = None
+    body = bytearray()
+    while True:
+        event = conn.next_event()
+        if event is NEED_DATA:
+            try:
+                conn.receive_data(await stream.receive(RECEIVE_BYTES))
+            except EndOfStream:
+                conn.receive_data(b"")
+        elif isinstance(event, Request):
+            head = event
+        elif isinstance(event, Data):
+            body += event.data
+            if len(body) > MAX_BODY_BYTES:
+                raise DropConnection
+        elif isinstance(event, EndOfMessage) and head is not None:
+            url = urlsplit(head.target.decode("ascii"))
+            query = dict(parse_qsl(url.query))
+            method = head.method.decode("ascii")
+            return HttpRequest(method, unquote(url.path), query, bytes(body))
+        elif event is PAUSED or isinstance(event, ConnectionClosed):
+            return None
--- /dev/null
+++ b/src/magnoliaslip/lab/platform_store.py
@@ -0,0 +1,126 @@
+"""The values of the platform and how it misbehaves."""
+
+from collections import Counter
+from collections.abc import Mapping
+from enum import StrEnum
+from json import loads
+
+from anyio import Event, move_on_after, sleep_forever
+
+from magnoliaslip.config.platform import PlatformValue
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.recorder import NullRecorder, Recorder
+
+READ_LIMIT_PER_S = 2000
+
+
+class PlatformMode(StrEnum):
+    """How the platform answers readers."""
+
+    UP = "up"
+    STALE = "stale"  # answers with the values of the moment when the mode began
+    DOWN = "down"  # closes connections without an answer
+    SILENT = "silent"  # never answers
+
+
+class PlatformDownError(Exception):
+    """The platform does not answer this reader."""
+
+
+class PlatformStore:
+    """Values by key, with a mode for each group of readers.
+
+    A group of readers is what reaches the platform by the same listener, for
+    example an availability zone.
+
+    Args:
+        clock: Source of time for the count of reads per second.
+        recorder: Receives a ``publish`` record for each new index.
+    """
+
+    def __init__(self, *, clock: Clock, recorder: Recorder | None = None) -> None:
+        self.reads: Counter[str] = Counter()
+        self.peak_reads_per_s = 0
+        self._clock = clock
+        self._recorder = recorder or NullRecorder()
+        self._values: dict[str, PlatformValue] = {}
+        self._modes: dict[str, PlatformMode] = {}
+        self._frozen: dict[str, dict[str, PlatformValue]] = {}
+        self._changed = Event()
+        self._second = 0
+        self._reads_in_second = 0
+
+    def publish(self, key: str, data: bytes) -> int:
+        """Store a value and return its modification counter.
+
+        Raises:
+            ValueError: The value is no JSON.
+        """
+        value = loads(data)
+        index = self._values[key].index + 1 if key in self._values else 1
+        self._values[key] = PlatformValue(key, data, index)
+        if key == "index":
+            self._record_publication(value)
+        self._wake()
+        return index
+
+    def set_mode(self, mode: PlatformMode, groups: list[str]) -> None:
+        """Change how the platform answers the groups from now on."""
+        for group in groups:
+            self._modes[group] = mode
+            self._frozen.pop(group, None)
+            if mode is PlatformMode.STALE:
+                self._frozen[group] = dict(self._values)
+        self._wake()
+
+    async def read(
+        self, key: str, *, group: str, after: int = -1, wait_s: float = 0.0
+    ) -> PlatformValue | None:
+        """Return a value newer than ``after``, waiting for it; None if there is none.
+
+        Raises:
+            KeyError: The key does not exist.
+            PlatformDownError: The mode is down.
+        """
+        self._count(group)
+        with move_on_after(wait_s):
+            while True:
+                value = await self._look(key, group)
+                if value.index > after:
+                    return value
+                changed = self._changed
+                if wait_s <= 0:
+                    return None
+                await changed.wait()
+        await self._look(key, group)
+        return None
+
+    async def _look(self, key: str, group: str) -> PlatformValue:
+        mode = self._modes.get(group, PlatformMode.UP)
+        if mode is PlatformMode.DOWN:
+            raise PlatformDownError
+        if mode is PlatformMode.SILENT:
+            await sleep_forever()
+        return self._frozen.get(group, self._values)[key]
+
+    def _wake(self) -> None:
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def _count(self, group: str) -> None:
+        self.reads[group] += 1
+        second = int(self._clock.monotonic())
+        if second != self._second:
+            self._second, self._reads_in_second = second, 0
+        self._reads_in_second += 1
+        self.peak_reads_per_s = max(self.peak_reads_per_s, self._reads_in_second)
+
+    def _record_publication(self, index: Mapping[str, object]) -> None:
+        zones = self._values.get("zones")
+        states = loads(zones.data).get("zones", {}) if zones else {}
+        self._recorder.record(
+            "publish",
+            version=index.get("version"),
+            values=index.get("values"),
+            zones_out=sorted(zone for zone, state in states.items() if state == "out"),
+        )
