--- /dev/null
+++ b/src/magnoliaslip/lab/children.py
@@ -0,0 +1,234 @@
+"""Child processes that are ended whatever happens."""
+
+from collections import deque
+from collections.abc import AsyncIterator, Callable, Sequence
+from contextlib import asynccontextmanager, suppress
+from os import environ, pathsep
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from subprocess import PIPE
+
+from anyio import (
+    BrokenResourceError,
+    CancelScope,
+    ClosedResourceError,
+    EndOfStream,
+    Event,
+    create_task_group,
+    fail_after,
+    move_on_after,
+    open_process,
+)
+from anyio.abc import ByteReceiveStream, Process, TaskGroup
+
+import magnoliaslip
+from magnoliaslip.core.errors import MagnoliaslipError
+
+START_TIMEOUT_S = 15.0
+STOP_TIMEOUT_S = 3.0
+KEPT_LINES = 30
+RECEIVE_BYTES = 65_536
+
+LineHandler = Callable[[str], None]
+
+
+class ChildError(MagnoliaslipError):
+    """A child process did not start or ended too early."""
+
+    code = "MS800"
+
+
+class Child:
+    """One child process.
+
+    Attributes:
+        name: Name for messages.
+        lines: The last lines of its output.
+        ready: Set once its output had the line that was waited for.
+        ended: Set once it has ended.
+    """
+
+    def __init__(self, name: str, process: Process, ready_text: str) -> None:
+        self.name = name
+        self.lines: deque[str] = deque(maxlen=KEPT_LINES)
+        self.ready = Event()
+        self.ended = Event()
+        self._process = process
+        self._ready_text = ready_text
+
+    @property
+    def exit_code(self) -> int | None:
+        """The exit code, or None while the process runs."""
+        return self._process.returncode
+
+    def on_line(self, line: str) -> None:
+        """Note a line of output."""
+        self.lines.append(line)
+        if self._ready_text in line:
+            self.ready.set()
+
+    def terminate(self) -> None:
+        """Send SIGTERM."""
+        self._signal(SIGTERM)
+
+    def kill(self) -> None:
+        """Send SIGKILL."""
+        self._signal(SIGKILL)
+
+    def pause(self) -> None:
+        """Send SIGSTOP."""
+        self._signal(SIGSTOP)
+
+    def resume(self) -> None:
+        """Send SIGCONT."""
+        self._signal(SIGCONT)
+
+    async def wait_ready(self, timeout_s: float = START_TIMEOUT_S) -> None:
+        """Wait for the ready line.
+
+        Raises:
+            ChildError: The process ended or the line did not come in time.
+        """
+        with move_on_after(timeout_s):
+            async with create_task_group() as tasks:
+                for event in (self.ready, self.ended):
+                    tasks.start_soon(_cancel_after, event, tasks.cancel_scope)
+        if not self.ready.is_set():
+            output = "\n  ".join(self.lines) or "(no output)"
+            raise ChildError(
+                f"{self.name} did not become ready, exit code {self.exit_code}",
+                remedy=f"see its last lines:\n  {output}",
+            )
+
+    async def wait_ended(self, timeout_s: float) -> None:
+        """Wait until the process has ended.
+
+        Raises:
+            ChildError: It still runs after the timeout.
+        """
+        try:
+            with fail_after(timeout_s):
+                await self.ended.wait()
+        except TimeoutError:
+            raise ChildError(
+                f"{self.name} did not end within {timeout_s:g} s",
+                remedy="see its log for what it waits for",
+            ) from None
+
+    def _signal(self, number: int) -> None:
+        if self.exit_code is None:
+            with suppress(ProcessLookupError):
+                self._process.send_signal(number)
+
+
+class Children:
+    """The child processes of the lab.
+
+    Args:
+        tasks: Runs the readers of output.
+        log_dir: Directory that receives the output of each child, or None.
+    """
+
+    def __init__(self, tasks: TaskGroup, log_dir: Path | None = None) -> None:
+        self._tasks = tasks
+        self._log_dir = log_dir
+        self._children: list[Child] = []
+
+    async def start(
+        self,
+        name: str,
+        argv: Sequence[str],
+        *,
+        ready: str,
+        on_line: LineHandler | None = None,
+    ) -> Child:
+        """Start a process; it does not wait until the process is ready.
+
+        Args:
+            name: Name for messages and for the log file.
+            argv: Command line.
+            ready: Text of the output line that shows that the process serves.
+            on_line: Receives each line of output.
+        """
+        # The stand-ins end when their standard input closes, so they also end when
+        # this process is killed without a chance to clean up.
+        with CancelScope(shield=True):  # a started process must be known
+            process = await open_process(
+                argv, stdin=PIPE, stdout=PIPE, stderr=PIPE, env=_environment()
+            )
+            child = Child(name, process, ready)
+            self._children.append(child)
+        self._tasks.start_soon(self._watch, child, process, on_line)
+        return child
+
+    async def end_all(self) -> None:
+        """End every child: SIGTERM, and SIGKILL after a bounded wait."""
+        running = [child for child in self._children if child.exit_code is None]
+        for child in running:
+            child.resume()
+            child.terminate()
+            child.terminate()  # an instance ends at once on the second signal
+        with move_on_after(STOP_TIMEOUT_S):
+            for child in running:
+                await child.ended.wait()
+        for child in running:
+            child.kill()
+        with move_on_after(STOP_TIMEOUT_S):
+            for child in running:
+                await child.ended.wait()
+
+    async def _watch(
+        self, child: Child, process: Process, on_line: LineHandler | None
+    ) -> None:
+        def handle(line: str) -> None:
+            child.on_line(line)
+            if on_line:
+                on_line(line)
+            if self._log_dir:
+                with (self._log_dir / f"{child.name}.log").open("a") as file:
+                    file.write(line + "\n")
+
+        # Shielded so that the last lines and the exit code are seen on every way
+        # out; `end_all` bounds the wait.
+        with CancelScope(shield=True):
+            async with create_task_group() as tasks:
+                tasks.start_soon(_read_lines, process.stdout, handle)
+                tasks.start_soon(_read_lines, process.stderr, handle)
+            await process.wait()
+            child.ended.set()
+            await process.aclose()
+
+
+@asynccontextmanager
+async def open_children(log_dir: Path | None = None) -> AsyncIterator[Children]:
+    """Own child processes until the block is left, by whatever way."""
+    async with create_task_group() as tasks:
+        children = Children(tasks, log_dir)
+        try:
+            yield children
+        finally:
+            with CancelScope(shield=True):
+                await children.end_all()
+
+
+def _environment() -> dict[str, str]:
+    """Return an environment in which children import this very package."""
+    source = str(Path(magnoliaslip.__file__).parent.parent)
+    paths = [source, *filter(None, [environ.get("PYTHONPATH")])]
+    return dict(environ) | {"PYTHONPATH": pathsep.join(paths)}
+
+
+async def _cancel_after(event: Event, scope: CancelScope) -> None:
+    await event.wait()
+    scope.cancel()
+
+
+async def _read_lines(stream: ByteReceiveStream | None, handle: LineHandler) -> None:
+    rest = b""
+    with suppress(EndOfStream, BrokenResourceError, ClosedResourceError):
+        while stream is not None:
+            *lines, rest = (rest + await stream.receive(RECEIVE_BYTES)).split(b"\n")
+            for line in lines:
+                handle(line.decode(errors="replace"))
+    if rest:
+        handle(rest.decode(errors="replace"))
--- /dev/null
+++ b/src/magnoliaslip/lab/ports.py
@@ -0,0 +1,46 @@
+"""Free ports on loopback."""
+
+from random import Random
+from socket import AF_INET, SOCK_DGRAM, SOCK_STREAM
+from socket import socket as Socket  # noqa: N812
+
+from magnoliaslip.core.address import Address
+
+HOST = "127.0.0.1"
+# Below the usual range of ephemeral ports, so that no outgoing connection takes a
+# port between its choice and its use.
+FIRST_PORT = 12_000
+LAST_PORT = 31_999
+
+
+class PortPicker:
+    """Picks ports that are free for TCP and UDP, each once.
+
+    >>> picker = PortPicker(Random(1))
+    >>> picker.pick() != picker.pick()
+    True
+    """
+
+    __slots__ = ("_picked", "_rng")
+
+    def __init__(self, rng: Random) -> None:
+        self._rng = rng
+        self._picked: set[int] = set()
+
+    def pick(self) -> Address:
+        """Return an address whose port is free now."""
+        while True:
+            port = self._rng.randint(FIRST_PORT, LAST_PORT)
+            if port not in self._picked and _is_free(port):
+                self._picked.add(port)
+                return Address(HOST, port)
+
+
+def _is_free(port: int) -> bool:
+    for kind in (SOCK_STREAM, SOCK_DGRAM):
+        with Socket(AF_INET, kind) as sock:
+            try:
+                sock.bind((HOST, port))
+            except OSError:
+                return False
+    return True
--- /dev/null
+++ b/src/magnoliaslip/lab/report.py
@@ -0,0 +1,154 @@
+"""What a run of the lab showed."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable, Mapping
+from typing import Any
+
+from msgspec import Struct
+
+from magnoliaslip.lab.site import Site
+
+
+class SiteReport(Struct, frozen=True):
+    """Results of one run.
+
+    Attributes:
+        deployment: Name of the deployment.
+        seconds: Duration of the run.
+        requests: Requests that callers planned and sent.
+        answered: Requests answered in full by their own service.
+        failures: Other requests by reason.
+        wrong: Messages of another service or request.
+        retried: Further attempts of idempotent requests.
+        flows: Flows that callers opened.
+        flows_established: Those that were established.
+        flows_broken: Established flows that ended by reset or timeout.
+        refused: Opens that were refused.
+        shed: Requests that backend servers refused.
+        overloaded: Failures of cold backend servers under load.
+        sprayed: Packets that the fabric handed to instances.
+        second_hops: Packets relayed between instances; None when no instance
+            states its counters.
+        imbalance: Answers of the busiest server over the mean, by service.
+        latency_us: Percentiles of the time to the full answer, of each caller.
+        config_versions: Version in force by instance.
+        published: Version of the last published index.
+        restarts: Number of restarts by instance.
+        exit_codes: Exit codes of the planned stops by instance.
+        reads_peak_per_s: Most reads of the platform in one second.
+    """
+
+    deployment: str
+    seconds: float
+    requests: int
+    answered: int
+    failures: dict[str, int]
+    wrong: int
+    retried: int
+    flows: int
+    flows_established: int
+    flows_broken: int
+    refused: int
+    shed: int
+    overloaded: int
+    sprayed: int
+    second_hops: int | None
+    imbalance: dict[str, float]
+    latency_us: list[dict[str, float]]
+    config_versions: dict[str, int]
+    published: int
+    restarts: dict[str, int]
+    exit_codes: dict[str, list[int | None]]
+    reads_peak_per_s: int
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether every request was answered in full by its own service."""
+        return self.requests > 0 and self.answered == self.requests and not self.wrong
+
+    def lines(self) -> list[str]:
+        """Return the report as lines of text."""
+        failed = ", ".join(f"{name} {n}" for name, n in self.failures.items())
+        hops = "not known" if self.second_hops is None else str(self.second_hops)
+        if self.second_hops is not None and self.sprayed:
+            hops += f" ({self.second_hops / self.sprayed:.1%} of packets)"
+        shares = ", ".join(f"{name} {x:.2f}" for name, x in self.imbalance.items())
+        versions = ", ".join(f"{i} {n}" for i, n in self.config_versions.items())
+        kept = self.flows_established - self.flows_broken
+        codes = Counter(code for codes in self.exit_codes.values() for code in codes)
+        stops = ", ".join(f"{n} with exit code {code}" for code, n in codes.items())
+        restarts = f"{sum(self.restarts.values())} instances restarted"
+        return [
+            f"deployment       {self.deployment}, {self.seconds:.1f} s",
+            f"requests served  {self.answered} of {self.requests} in full",
+            f"  not served     {failed or 'none'}; wrong answers {self.wrong}",
+            f"  retried        {self.retried} (idempotent requests only)",
+            f"flows kept       {kept} of {self.flows_established} established",
+            f"refusals         {self.refused} opens, {self.shed} requests shed",
+            f"packets          {self.sprayed} sprayed, second hops {hops}",
+            f"imbalance        {shares} (max over mean answers per server)",
+            f"configuration    version {self.published} published; {versions}",
+            f"restarts         {restarts}; {stops or 'no planned stop'}",
+        ]
+
+
+async def collect_report(site: Site, *, seconds: float) -> SiteReport:
+    """Collect the results of a site whose callers are idle."""
+    callers = await site.caller_states()
+    counters: Counter[str] = Counter()
+    for caller in callers:
+        counters.update(caller["counters"])
+    backends = await site.backend_states()
+    fabric = await site.fabric_counters()
+    reads = await site.platform_reads()
+    instances = site.instances
+    return SiteReport(
+        deployment=site.deployment.name,
+        seconds=seconds,
+        requests=counters["calls"],
+        answered=counters["answered"],
+        failures={
+            name.removeprefix("failed_"): count
+            for name, count in sorted(counters.items())
+            if name.startswith("failed_")
+        },
+        wrong=counters["wrong"],
+        retried=counters["retried"],
+        flows=counters["flows"],
+        flows_established=counters["flows_established"],
+        flows_broken=counters["flows_broken"],
+        refused=counters["refused"],
+        shed=counters["shed"],
+        overloaded=sum(b["counters"].get("overloaded", 0) for b in backends),
+        sprayed=fabric.get("sprayed", 0),
+        second_hops=await _second_hops(site),
+        imbalance=_imbalance(site, callers),
+        latency_us=[caller["latency"] for caller in callers],
+        config_versions={i: proc.config_version for i, proc in instances.items()},
+        published=site.tables.version,
+        restarts={i: proc.starts - 1 for i, proc in instances.items()},
+        exit_codes={i: proc.exit_codes for i, proc in instances.items()},
+        reads_peak_per_s=reads["peak_per_s"],
+    )
+
+
+async def _second_hops(site: Site) -> int | None:
+    total: Counter[str] = Counter()
+    for instance in site.instances.values():
+        await instance.collect_counters()
+        total.update(instance.counters)
+    return total["relayed"] if total else None
+
+
+def _imbalance(site: Site, callers: Iterable[Mapping[str, Any]]) -> dict[str, float]:
+    answers: dict[str, Counter[str]] = defaultdict(Counter)
+    for caller in callers:
+        for line in caller["answered_by"]:
+            answers[line["service"]][line["server"]] += line["answers"]
+    shares = {}
+    for service, pool in site.tables.servers.items():
+        total = sum(answers[service].values())
+        if total:
+            busiest = max(answers[service].values())
+            shares[service] = busiest * len(pool) / total
+    return shares
--- /dev/null
+++ b/src/magnoliaslip/lab/site.py
@@ -0,0 +1,369 @@
+"""A deployment as running processes on loopback."""
+
+from collections.abc import AsyncIterator, Mapping
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field, replace
+from pathlib import Path
+from random import SystemRandom
+from sys import executable
+from tempfile import TemporaryDirectory
+from typing import Any
+
+from anyio import create_task_group, fail_after, sleep
+from msgspec.json import encode
+
+from magnoliaslip.config.snapshot import BackendServer
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.group import InstanceEntry
+from magnoliaslip.lab.children import Child, ChildError, Children, open_children
+from magnoliaslip.lab.deployment import CONNECTIONS, Deployment, Tables
+from magnoliaslip.lab.fabric import PathRule
+from magnoliaslip.lab.fabric_process import (
+    CallerLine,
+    FabricSettings,
+    InstanceLine,
+    RuleLine,
+    ServerLine,
+)
+from magnoliaslip.lab.http_client import fetch_json
+from magnoliaslip.lab.instances import Command, InstanceProcess, instance_command
+from magnoliaslip.lab.load import LoadConfig
+from magnoliaslip.lab.platform_server import ADMIN_GROUP
+from magnoliaslip.lab.platform_store import PlatformMode
+from magnoliaslip.lab.ports import HOST, PortPicker
+
+LIST_LAG_S = 0.3  # until the fabric's list of instances follows the platform's
+POLL_S = 0.1
+LAB = (executable, "-m", "magnoliaslip.lab")
+
+
+@dataclass(slots=True, frozen=True)
+class SiteOptions:
+    """How a site is set up.
+
+    Attributes:
+        callers: Number of caller processes.
+        load: Load of each caller.
+        seed: Seed of the stand-ins; ports are picked at random.
+        record_dir: Directory for history records, or None.
+        log_dir: Directory for the output of all processes, or None.
+        command: Makes the command line of an instance from its settings file.
+    """
+
+    callers: int = 2
+    load: LoadConfig = field(default_factory=LoadConfig)
+    seed: int = 1
+    record_dir: Path | None = None
+    log_dir: Path | None = None
+    command: Command = instance_command
+
+
+class Site:
+    """Platform, fabric, backend servers, callers and instances.
+
+    Attributes:
+        deployment: What is set up.
+        tables: The tables as last published.
+        instances: The instances by identifier.
+        servers: Real address of each backend server by name; the pool tables hold
+            the fabric's address for it.
+    """
+
+    def __init__(
+        self,
+        deployment: Deployment,
+        options: SiteOptions,
+        *,
+        children: Children,
+        work_dir: Path,
+    ) -> None:
+        self.deployment = deployment
+        self.instances: dict[str, InstanceProcess] = {}
+        self.servers: dict[str, Address] = {}
+        self._options = options
+        self._children = children
+        self._work_dir = work_dir
+        self._ports = PortPicker(SystemRandom())
+        self._platform = {
+            group: self._ports.pick() for group in (ADMIN_GROUP, *deployment.zones)
+        }
+        self._fabric: dict[str, Address] = {
+            name: self._ports.pick()
+            for name in ("callers", "returns", "egress", "admin")
+        }
+        self._callers = [self._ports.pick() for _ in range(options.callers)]
+        self._rules: dict[tuple[str, str], PathRule] = {}
+        self.tables = Tables(
+            deployment,
+            {
+                service.name: [
+                    BackendServer(
+                        name, self._ports.pick(), zone, deployment.slots, CONNECTIONS
+                    )
+                    for name, zone in deployment.servers(service)
+                ]
+                for service in deployment.services
+            },
+        )
+        self._make_instances()
+
+    async def start(self) -> None:
+        """Start every process and wait until all of them serve.
+
+        Raises:
+            ChildError: A process did not become ready.
+        """
+        stand_ins = [await self._start_platform(), *await self._start_backends()]
+        stand_ins += [await self._start_fabric(), *await self._start_callers()]
+        for child in stand_ins:
+            await child.wait_ready()
+        self.tables.instances = [proc.entry for proc in self.instances.values()]
+        await self.publish()
+        await self.publish_instances()
+        for instance in self.instances.values():
+            await instance.start()
+        for instance in self.instances.values():
+            await instance.wait_serving()
+        await self.update_fabric()
+
+    async def publish(self, *keys: str) -> None:
+        """Publish tables, all of them when no key is given."""
+        for key, value in self.tables.change(*keys).items():
+            await self._put_platform(f"/lab/values/{key}", value)
+
+    async def publish_instances(self) -> None:
+        """Publish the list of instances."""
+        value = self.tables.instance_list()
+        await self._put_platform("/lab/values/instances", value)
+
+    async def set_platform_mode(self, mode: PlatformMode, zone: str = "") -> None:
+        """Change how the platform answers one zone, or all."""
+        body = {"mode": mode} | ({"group": zone} if zone else {})
+        await self._put_platform("/lab/mode", body)
+
+    async def set_rules(self, rules: Mapping[tuple[str, str], PathRule]) -> None:
+        """Replace the disturbances of paths between places."""
+        lines = [RuleLine(src, dst, rule) for (src, dst), rule in rules.items()]
+        await fetch_json(self._fabric["admin"], "PUT", "/lab/rules", lines)
+
+    async def update_fabric(self) -> None:
+        """Tell the fabric which instances serve."""
+        lines = [
+            InstanceLine(entry.id, entry.zone, str(entry.data), entry.leaving)
+            for entry in self.tables.instances
+            if entry.leaving or self.instances[entry.id].child.ready.is_set()
+        ]
+        await fetch_json(self._fabric["admin"], "PUT", "/lab/instances", lines)
+
+    async def set_backend_fault(self, server: str, **fault: str) -> None:
+        """Apply a fault to a backend server, see `BackendProcess`."""
+        await fetch_json(self.servers[server], "PUT", "/lab/fault", fault)
+
+    async def restart_instance(self, instance_id: str) -> None:
+        """Stop an instance gracefully and start it again.
+
+        Raises:
+            ChildError: It does not stop or does not serve again in time.
+        """
+        await self.stop_instance(instance_id)
+        await self.start_instance(instance_id)
+
+    async def stop_instance(self, instance_id: str) -> None:
+        """Announce that an instance leaves, and stop it."""
+        await self._list_instance(instance_id, leaving=True)
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._update_fabric_late)
+            await self.instances[instance_id].stop()
+        await self._list_instance(instance_id, present=False)
+        await self.update_fabric()
+
+    async def start_instance(self, instance_id: str) -> None:
+        """Start an instance that does not run and wait until it serves."""
+        await self.instances[instance_id].start()
+        await self._list_instance(instance_id)
+        await self.instances[instance_id].wait_serving()
+        await self.update_fabric()
+
+    async def kill_instance(self, instance_id: str) -> None:
+        """End an instance at once; lists follow after their lag."""
+        self.instances[instance_id].child.kill()
+        await sleep(LIST_LAG_S)
+        await self._list_instance(instance_id, present=False)
+        await self.update_fabric()
+
+    async def start_load(self) -> None:
+        """Let all callers open sessions."""
+        for caller in self._callers:
+            await fetch_json(caller, "PUT", "/lab/start")
+
+    async def stop_load(self, *, timeout_s: float) -> None:
+        """Let all callers finish.
+
+        Raises:
+            ChildError: A caller still waits after the timeout.
+        """
+        for caller in self._callers:
+            await fetch_json(caller, "PUT", "/lab/stop")
+        try:
+            with fail_after(timeout_s):
+                while not all(state["idle"] for state in await self.caller_states()):
+                    await sleep(POLL_S)
+        except TimeoutError:
+            raise ChildError(
+                f"callers still wait for answers after {timeout_s:g} s",
+                remedy="read the history for flows that get no answer",
+            ) from None
+
+    async def caller_states(self) -> list[dict[str, Any]]:
+        """Return counters and answers of each caller."""
+        return [await fetch_json(a, "GET", "/lab/status") for a in self._callers]
+
+    async def backend_states(self) -> list[dict[str, Any]]:
+        """Return state and counters of each backend server."""
+        return [
+            await fetch_json(a, "GET", "/lab/status") for a in self.servers.values()
+        ]
+
+    async def fabric_counters(self) -> dict[str, int]:
+        """Return the counters of the fabric."""
+        return await fetch_json(self._fabric["admin"], "GET", "/lab/counters")
+
+    async def platform_reads(self) -> dict[str, Any]:
+        """Return the reads of the platform by zone, and the most in one second."""
+        return await fetch_json(self._platform[ADMIN_GROUP], "GET", "/lab/reads")
+
+    async def _put_platform(self, path: str, value: object) -> None:
+        await fetch_json(self._platform[ADMIN_GROUP], "PUT", path, value)
+
+    async def _update_fabric_late(self) -> None:
+        await sleep(LIST_LAG_S)
+        await self.update_fabric()
+
+    async def _list_instance(
+        self, instance_id: str, *, present: bool = True, leaving: bool = False
+    ) -> None:
+        others = [e for e in self.tables.instances if e.id != instance_id]
+        entry = replace(self.instances[instance_id].entry, leaving=leaving)
+        self.tables.instances = [*others, entry] if present else others
+        await self.publish_instances()
+
+    def _make_instances(self) -> None:
+        for instance_id, zone in self.deployment.instances():
+            entry = InstanceEntry(
+                instance_id, zone, self._ports.pick(), self._ports.pick()
+            )
+            values: dict[str, object] = {
+                "egress": str(self._fabric["egress"]),
+                "platform": [str(self._platform[zone])],
+                "allowed_networks": [f"{HOST}/32"],
+            }
+            if self._options.record_dir:
+                values["record_to"] = self._record_to(instance_id)
+            self.instances[instance_id] = InstanceProcess(
+                entry,
+                self._work_dir / f"{instance_id}.json",
+                values,
+                children=self._children,
+                command=self._options.command,
+            )
+
+    def _record_to(self, name: str) -> str:
+        return str((self._options.record_dir or Path()) / f"{name}.jsonl")
+
+    async def _start(self, kind: str, name: str, *args: str) -> Child:
+        argv = [*LAB, kind, *args, "--until-eof"]
+        if self._options.record_dir and kind != "fabric":
+            argv += ["--record-to", self._record_to(name)]
+        return await self._children.start(name, argv, ready=f"ready {kind}")
+
+    async def _start_platform(self) -> Child:
+        listeners = [
+            text
+            for group, address in self._platform.items()
+            for text in ("--listen", f"{group}={address}")
+        ]
+        return await self._start("platform", "platform", *listeners)
+
+    async def _start_backends(self) -> list[Child]:
+        children = []
+        for service in self.deployment.services:
+            for server in self.tables.servers[service.name]:
+                address = self.servers[server.name] = self._ports.pick()
+                args = ("--name", server.name, "--service", service.name)
+                args += ("--zone", server.zone, "--listen", str(address))
+                args += ("--address", str(service.address))
+                args += ("--returns", str(self._fabric["returns"]))
+                args += ("--slots", str(server.slots))
+                args += ("--connections", str(server.connections))
+                args += ("--seed", str(self._options.seed))
+                children.append(await self._start("backend", server.name, *args))
+        return children
+
+    async def _start_callers(self) -> list[Child]:
+        load = self._work_dir / "load.json"
+        load.write_bytes(encode(self._options.load))
+        services = [
+            text
+            for service in self.deployment.services
+            for text in ("--service", f"{service.name}={service.address}")
+        ]
+        return [
+            await self._start(
+                "caller",
+                f"caller-{n}",
+                *("--name", f"c{n}", "--host", _caller_host(n)),
+                *("--listen", str(address)),
+                *("--fabric", str(self._fabric["callers"])),
+                *("--seed", str(self._options.seed), "--load", str(load)),
+                *services,
+            )
+            for n, address in enumerate(self._callers, 1)
+        ]
+
+    async def _start_fabric(self) -> Child:
+        servers = [
+            ServerLine(
+                server.name,
+                server.zone,
+                front=str(server.address),
+                tunnel=str(self.servers[server.name]),
+            )
+            for pool in self.tables.servers.values()
+            for server in pool
+        ]
+        callers = [
+            CallerLine(_caller_host(n), str(address))
+            for n, address in enumerate(self._callers, 1)
+        ]
+        settings = FabricSettings(
+            **{name: str(address) for name, address in self._fabric.items()},
+            zone_delay_s=self.deployment.zone_delay_s,
+            caller_delay_s=self.deployment.caller_delay_s,
+            servers=servers,
+            caller_lines=callers,
+            seed=self._options.seed,
+        )
+        path = self._work_dir / "fabric.json"
+        path.write_bytes(encode(settings))
+        return await self._start("fabric", "fabric", "--settings", str(path))
+
+
+def _caller_host(number: int) -> str:
+    return f"10.1.0.{number}"
+
+
+@asynccontextmanager
+async def open_site(
+    deployment: Deployment, options: SiteOptions | None = None
+) -> AsyncIterator[Site]:
+    """Set up a site; every process is ended when the block is left.
+
+    Raises:
+        ChildError: A process did not become ready.
+    """
+    options = options or SiteOptions()
+    with TemporaryDirectory(prefix="magnoliaslip-") as name:
+        async with open_children(options.log_dir) as children:
+            site = Site(deployment, options, children=children, work_dir=Path(name))
+            await site.start()
+            yield site
