--- a/tests/lab/udp_forwarder.py
+++ b/tests/lab/udp_forwarder.py
@@ -58,4 +58,5 @@
             sock.sendto(packet, servers[flow_hash(key) % len(servers)])
 
 
-main()
+if __name__ == "__main__":
+    main()
