--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -67,6 +67,10 @@
             members until a list names them.
         allowed_networks: Networks whose addresses are accepted although unlisted.
 
+    Attributes:
+        list_version: Version of the list in force; 0 before the first one.
+        listed_zones: Number of availability zones that the list names.
+
     >>> from magnoliaslip.core.clock import ManualClock
     >>> membership = Membership("i1", "a", 1, clock=ManualClock())
     >>> membership.set_state(MemberState.SERVING)
@@ -86,6 +90,7 @@
         "incarnation",
         "instance_id",
         "list_version",
+        "listed_zones",
         "zone",
     )
 
@@ -103,6 +108,7 @@
         self.zone = zone
         self.incarnation = incarnation
         self.list_version = 0
+        self.listed_zones = 0
         self._clock = clock
         self._seeds = {entry.id: entry for entry in seeds}
         self._allowed = tuple(allowed_networks)
@@ -129,11 +135,6 @@
         """The number of instances on the list."""
         return len(self._listed)
 
-    @property
-    def listed_zones(self) -> int:
-        """The number of availability zones that the list names."""
-        return len({entry.zone for entry in self._listed.values()})
-
     def apply_list(self, instances: Sequence[InstanceEntry], version: int) -> bool:
         """Take over a list of the platform, read here or learned from a peer.
 
@@ -166,6 +167,7 @@
             if until > now and entries.get(entry.id) != entry
         }
         self._listed = entries
+        self.listed_zones = len({entry.zone for entry in instances})
         self.list_version = version
         self._forget_strangers(now)
         return True
--- /dev/null
+++ b/tests/peering/test_config_transfer.py
@@ -0,0 +1,125 @@
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.core.errors import ConfigError, PeerError
+from magnoliaslip.peering.config_transfer import (
+    PIECE_BYTES,
+    ConfigSource,
+    ReplyAssembly,
+    whole_sets,
+)
+from magnoliaslip.peering.instance_list import InstanceList
+from magnoliaslip.peering.proto.peer_pb2 import ConfigPiece, ConfigReply, ConfigRequest
+
+
+@pytest.fixture
+def clock():
+    return ManualClock(start=50.0)
+
+
+@pytest.fixture
+def store(clock):
+    built = SnapshotStore(clock=clock)
+    for version in (1, 2, 3):
+        zones = b'{"version": %d, "zones": {"a": "in"}}' % version
+        index = b'{"version": %d, "values": {"zones": %d}}' % (version, version)
+        built.offer({"index": index, "zones": zones})
+        clock.advance(10)
+    return built
+
+
+def ask(store, clock, req, instances=b"", version=0):
+    assembly = ReplyAssembly()
+    piece = ConfigSource(store, clock=clock).piece(req, instances, version)
+    assert assembly.add(piece)
+    return assembly.reply()
+
+
+def test_whole_history_is_restored(store, clock):
+    reply = ask(store, clock, ConfigRequest(with_history=True))
+    sets = whole_sets(reply, {}, now=clock.monotonic())
+    assert [each.since for each in sets] == pytest.approx([50.0, 60.0, 70.0])
+    assert [each.values for each in sets] == [store.values_of(v) for v in (1, 2, 3)]
+
+
+def test_known_versions_are_left_out(store, clock):
+    # Guards against transfers of everything at each of 37,000 changes a day.
+    reply = ask(store, clock, ConfigRequest(have_version=2))
+    assert [each.version for each in reply.snapshots] == [3]
+    sets = whole_sets(reply, store.values_of(2), now=clock.monotonic())
+    assert sets[0].values == store.values_of(3)
+    assert not ask(store, clock, ConfigRequest(have_version=3)).snapshots
+
+
+def test_instances_are_sent_only_when_newer(store, clock):
+    req = ConfigRequest(have_version=3, have_instances_version=4)
+    assert ask(store, clock, req, b"list", 5).instances == b"list"
+    assert ask(store, clock, req, b"list", 4).instances == b""
+
+
+def test_piece_of_an_unknown_transfer_starts_again(store, clock):
+    # Guards against replies put together from two different transfers.
+    instances = bytes(range(256)) * 16
+    noise = b"".join(
+        (n * 2654435761 % 2**32).to_bytes(4, "big") for n in range(200_000)
+    )
+    source = ConfigSource(store, clock=clock)
+    first = source.piece(ConfigRequest(), instances + noise, 1)
+    assert first.pieces > 2
+    assert len(first.data) == PIECE_BYTES
+    req = ConfigRequest(transfer=first.transfer, piece=1, number=8)
+    second = source.piece(req, instances + noise, 1)
+    assert (second.piece, second.number) == (1, 8)
+    other = source.piece(req, instances + noise[::-1], 2)
+    assert other.piece == 0
+    assembly = ReplyAssembly()
+    for piece in (first, second, second, other):
+        assert not assembly.add(piece)
+    assert assembly.transfer == other.transfer
+    assert assembly.wanted == 1
+
+
+def test_too_large_replies_are_refused():
+    # Guards against a peer that makes this process run out of memory.
+    with pytest.raises(PeerError):
+        ReplyAssembly().add(ConfigPiece(transfer=1, pieces=10_000))
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.binary(max_size=200), st.integers(0, 3), st.integers(0, 3))
+def test_damaged_replies_raise_only_peer_errors(data, piece, pieces):
+    assembly = ReplyAssembly()
+    try:
+        if assembly.add(ConfigPiece(transfer=1, piece=piece, pieces=pieces, data=data)):
+            whole_sets(assembly.reply(), {}, now=0.0)
+    except PeerError:
+        pass
+
+
+@settings(deadline=None, derandomize=True)
+@given(st.dictionaries(st.sampled_from(["index", "zones"]), st.binary(max_size=60)))
+def test_bad_indexes_raise_only_peer_errors(values):
+    reply = ConfigReply()
+    reply.snapshots.add(version=1, values=values)
+    with pytest.raises(PeerError):
+        whole_sets(reply, {}, now=0.0)
+
+
+@settings(deadline=None, derandomize=True)
+@given(
+    st.binary(max_size=60)
+    | st.sampled_from(
+        [
+            b'{"version": 1, "instances": [{"id": "i1"}]}',
+            b'{"version": 1, "instances": [{"id": "i1", "zone": "a", "data": "x",'
+            b' "control": "127.0.0.1:1"}]}',
+            b'{"version": 1.5, "instances": []}',
+        ]
+    )
+)
+def test_bad_instance_lists_raise_only_config_errors(data):
+    with pytest.raises(ConfigError):
+        InstanceList.parse(data)
--- /dev/null
+++ b/tests/peering/test_grpc_link.py
@@ -0,0 +1,184 @@
+"""The link over loopback sockets; every wait ends with an event, not a delay."""
+
+from contextlib import asynccontextmanager
+from random import Random
+from socket import SOCK_STREAM, socket
+
+import anyio
+import pytest
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.group import InstanceEntry
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.peering import grpc_link
+from magnoliaslip.peering.grpc_link import GrpcPeerLink
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
+
+LIMIT_S = 10
+
+
+def free_addresses(count):
+    sockets = [socket(type=SOCK_STREAM) for _ in range(count)]
+    for sock in sockets:
+        sock.bind(("127.0.0.1", 0))
+    found = [Address(*sock.getsockname()) for sock in sockets]
+    for sock in sockets:
+        sock.close()
+    return found
+
+
+class End:
+    def __init__(self, name, addresses, *, known=None):
+        clock = SystemClock()
+        self.membership = Membership(name, "a", 1, clock=clock)
+        self.membership.apply_list(
+            [
+                InstanceEntry(peer, "a", address, address)
+                for peer, address in addresses.items()
+                if known is None or peer in known
+            ],
+            1,
+        )
+        self.metrics = Metrics()
+        self.link = GrpcPeerLink(
+            addresses[name],
+            membership=self.membership,
+            clock=clock,
+            rng=Random(1),
+            metrics=self.metrics,
+        )
+        self.received = []
+        self.arrived = anyio.Event()
+
+    def on_message(self, msg):
+        self.received.append(msg)
+        self.arrived.set()
+        if msg.sender == "bad":
+            raise ValueError("a fault in a handler")
+
+
+@asynccontextmanager
+async def two_ends(**options):
+    addresses = dict(zip(("i1", "i2"), free_addresses(2), strict=True))
+    first, second = End("i1", addresses), End("i2", addresses, **options)
+    with anyio.fail_after(LIMIT_S):
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(first.link.run, first.on_message)
+            tasks.start_soon(second.link.run, second.on_message)
+            yield first, second
+            tasks.cancel_scope.cancel()
+
+
+async def send_until(link, peer, msg, condition):
+    while not condition():
+        link.send(peer, msg)
+        await anyio.sleep(0.01)
+
+
+def test_messages_arrive_and_bytes_are_counted():
+    async def main():
+        async with two_ends() as (first, second):
+            msg = PeerMessage(sender="i1", heartbeat=Heartbeat(number=3))
+            await send_until(first.link, "i2", msg, lambda: second.received)
+            assert second.received[0] == msg
+            sent = first.metrics.counters["control_bytes_sent"]
+            received = second.metrics.counters["control_bytes_received"]
+            assert sent >= received > msg.ByteSize()
+
+    anyio.run(main)
+
+
+def test_fault_in_a_handler_keeps_the_stream(caplog):
+    # Guards against one bad message that ends a stream or the process.
+    async def main():
+        async with two_ends() as (first, second):
+            bad, good = PeerMessage(sender="bad"), PeerMessage(sender="good")
+            await send_until(first.link, "i2", bad, lambda: second.received)
+            await send_until(
+                first.link, "i2", good, lambda: second.received[-1].sender == "good"
+            )
+            assert second.metrics.counters["peer_messages_failed"] >= 1
+            assert first.metrics.counters["peer_streams_replaced"] == 0
+
+    anyio.run(main)
+
+
+def test_addresses_of_strangers_are_refused():
+    # Guards against control connections from outside the group.
+    async def main():
+        async with two_ends(known=()) as (first, second):
+            rejected = second.metrics.counters
+            msg = PeerMessage(sender="i1")
+            await send_until(
+                first.link, "i2", msg, lambda: rejected["peer_streams_rejected"]
+            )
+            assert not second.received
+
+    anyio.run(main)
+
+
+def test_malformed_messages_are_counted_and_dropped(monkeypatch):
+    # Guards against bytes of a faulty peer that end the stream.
+    class JunkMessage:
+        def ByteSize(self):  # noqa: N802
+            return 4
+
+    async def main():
+        async with two_ends() as (first, second):
+            good = PeerMessage(sender="good")
+            await send_until(first.link, "i2", good, lambda: second.received)
+            counters = second.metrics.counters
+            monkeypatch.setattr(
+                "grpclib.encoding.proto.ProtoCodec.encode",
+                lambda self, msg, kind: (
+                    b"\xff\xff\xff\xff"
+                    if isinstance(msg, JunkMessage)
+                    else msg.SerializeToString()
+                ),
+            )
+            first.link.send("i2", JunkMessage())
+            second.received.clear()
+            await send_until(first.link, "i2", good, lambda: second.received)
+            assert counters["peer_messages_malformed"] == 1
+
+    anyio.run(main)
+
+
+@pytest.mark.parametrize(
+    "garbage", [b"GET / HTTP/1.1\r\n\r\n", bytes(64)], ids=["http1", "zeros"]
+)
+def test_garbage_on_the_port_harms_nobody(garbage):
+    # Guards against a port scan that stops the control server.
+    async def main():
+        async with two_ends() as (first, second):
+            msg = PeerMessage(sender="i1")
+            await send_until(first.link, "i2", msg, lambda: second.received)
+            stream = await anyio.connect_tcp(*first.membership.entry("i2").control)
+            await stream.send(garbage)
+            with pytest.raises((anyio.EndOfStream, anyio.BrokenResourceError)):
+                while True:
+                    await stream.receive()
+            await stream.aclose()
+            second.received.clear()
+            await send_until(first.link, "i2", msg, lambda: second.received)
+
+    anyio.run(main)
+
+
+def test_silent_stream_is_replaced(monkeypatch):
+    # Guards against a connection that is open and passes nothing on.
+    monkeypatch.setattr(grpc_link, "SILENT_S", 0.2)
+
+    async def main():
+        async with two_ends() as (first, second):
+            msg = PeerMessage(sender="i1")
+            await send_until(first.link, "i2", msg, lambda: second.received)
+            # Without messages there are no answers, as on a silent connection.
+            while not first.metrics.counters["peer_streams_replaced"]:
+                await anyio.sleep(0.01)
+            second.received.clear()
+            await send_until(first.link, "i2", msg, lambda: second.received)
+
+    anyio.run(main)
