Send the router's messages through the forwarding link

Cause: only the forwarding link stamps sender and incarnation. Change: router and peer node share one ForwardingLink.

--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -20,6 +20,7 @@
 from magnoliaslip.core.recorder import NullRecorder, Recorder
 from magnoliaslip.dataplane.path import DataPath
 from magnoliaslip.packet.tunnel import GUE_RELAY_FIRST_BYTE
+from magnoliaslip.peering.forwarding import ForwardingLink
 from magnoliaslip.peering.membership import Membership
 from magnoliaslip.peering.node import PeerNode
 from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
@@ -79,6 +80,7 @@
             clock=clock,
             allowed_networks=cfg.allowed_networks,
         )
+        link = ForwardingLink(peers, self.membership)
         self.store = SnapshotStore(
             clock=clock,
             history_window_s=cfg.history_window_s,
@@ -88,7 +90,7 @@
             cfg.id,
             clock=clock,
             packets=packets,
-            peers=peers,
+            peers=link,
             recorder=self._recorder,
             rng=rng or Random(),
             policy=policy,
@@ -109,7 +111,7 @@
             cfg.zone,
             incarnation,
             clock=clock,
-            link=peers,
+            link=link,
             platform=platform,
             store=self.store,
             router=self.router,
--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -91,7 +91,9 @@
 
         async with create_task_group() as tasks:
             tasks.start_soon(_stop_on_signals, node, tasks)
-            tasks.start_soon(peers.run, node.on_peer_message, [AdminService(node)])
+            tasks.start_soon(
+                peers.run, node.on_peer_message, [AdminService(node, clock=clock)]
+            )
             tasks.start_soon(read_batches, data, node.path.handle_batch)
             tasks.start_soon(read_batches_from, relay, handle_relay)
             log_event(
