--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -43,6 +43,7 @@
         self.epoch = 0
         self.direct_deadline = float("inf")
         self.suspect = False
+        self.synchronized = True
         self._clock = clock
         self._packets = packets
         self._peers = peers
