Add a deterministic event loop in virtual time

The fault matrix needs thousands of simulated seconds per CPU second and the same history for the same seed. The selector of the loop advances the time to the next timer instead of waiting. Handles belong to the simulated process of their context, so that one instance can be paused and wake late while the others go on.

Ruled out: one loop per instance with a clock of its own, because the order of events between loops would need a second scheduler.

--- /dev/null
+++ b/src/magnoliaslip/proof/virtual_loop.py
@@ -0,0 +1,243 @@
+"""A deterministic asyncio event loop in virtual time.
+
+The loop never waits: when nothing is ready, its selector moves the virtual time to
+the next timer. Several simulated processes share one loop. Each handle of the loop
+belongs to the process of the context in which it was created, so that one process
+can be paused while all others go on.
+
+>>> from anyio import run, sleep
+>>> async def measure() -> float:
+...     start = get_running_loop().time()
+...     await sleep(3600)
+...     return get_running_loop().time() - start
+>>> run(measure, backend_options={"loop_factory": VirtualEventLoop})
+3600.0
+"""
+
+from asyncio import AbstractEventLoop, SelectorEventLoop, get_running_loop
+from asyncio.events import Handle, TimerHandle
+from collections.abc import Callable
+from contextvars import Context, ContextVar, copy_context
+from heapq import heappush
+from selectors import BaseSelector, SelectorKey
+from typing import Any
+
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import MagnoliaslipError
+
+# Two timers closer than this fire in one round; must exceed the rounding error of
+# adding a delay to a time of up to 1e5 s in double precision.
+CLOCK_RESOLUTION_S = 1e-9
+WALL_ORIGIN_S = 1.7e9
+
+
+class VirtualDeadlockError(MagnoliaslipError):
+    """Every task of a virtual loop waits for something that no timer brings."""
+
+    code = "MS900"
+
+
+class _VirtualSelector(BaseSelector):
+    """Moves the virtual time instead of waiting for file descriptors."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        self._keys: dict[Any, SelectorKey] = {}
+
+    def register(self, fileobj: Any, events: int, data: Any = None) -> SelectorKey:
+        """Note a file object; it never becomes ready."""
+        fd = fileobj if isinstance(fileobj, int) else fileobj.fileno()
+        key = SelectorKey(fileobj, fd, events, data)
+        self._keys[fileobj] = key
+        return key
+
+    def unregister(self, fileobj: Any) -> SelectorKey:
+        """Forget a file object."""
+        return self._keys.pop(fileobj)
+
+    def get_map(self) -> dict[Any, SelectorKey]:
+        """Return the noted file objects."""
+        return self._keys
+
+    def select(self, timeout: float | None = None) -> list:
+        """Advance the time by ``timeout`` seconds; nothing becomes ready.
+
+        Raises:
+            VirtualDeadlockError: There is no timer to advance to.
+        """
+        if timeout is None:
+            raise VirtualDeadlockError(
+                "all tasks wait and no timer is set",
+                remedy="give the wait a deadline, or check for a lost wake-up",
+            )
+        if timeout > 0:
+            self.now += timeout
+        return []
+
+
+class SimProcess:
+    """A simulated operating-system process that can be paused.
+
+    While it is paused, none of its tasks, timers and deliveries run; they run in
+    their order when it resumes, as after SIGSTOP and SIGCONT.
+
+    Args:
+        name: Name for error messages.
+    """
+
+    __slots__ = ("_backlog", "_loop", "context", "ended", "name", "paused")
+
+    def __init__(self, name: str) -> None:
+        self.name = name
+        self.paused = False
+        self.ended = False
+        self.context: Context = copy_context()
+        self.context.run(_CURRENT_PROCESS.set, self)
+        self._backlog: list[Handle] = []
+        self._loop: VirtualEventLoop | None = None
+
+    @property
+    def backlog(self) -> int:
+        """The number of callbacks that wait for the process to resume."""
+        return len(self._backlog)
+
+    def pause(self) -> None:
+        """Stop running anything of this process."""
+        self.paused = True
+
+    def resume(self) -> None:
+        """Run what became due during the pause, then go on as before."""
+        self.paused = False
+        if self._loop is not None:
+            self._loop.requeue(self._backlog)
+        self._backlog = []
+
+    def defer(self, handle: Handle, loop: "VirtualEventLoop") -> None:
+        """Keep a handle that became due during a pause."""
+        self._loop = loop
+        self._backlog.append(handle)
+
+
+_CURRENT_PROCESS: ContextVar[SimProcess | None] = ContextVar(
+    "current_process", default=None
+)
+
+
+class _ProcessHandle(Handle):
+    __slots__ = ("_process",)
+
+    def _run(self) -> None:
+        if self._process.paused:
+            self._process.defer(self, self._loop)
+        else:
+            super()._run()
+
+
+class _ProcessTimerHandle(TimerHandle):
+    __slots__ = ("_process",)
+
+    def _run(self) -> None:
+        if self._process.paused:
+            self._process.defer(self, self._loop)
+        else:
+            super()._run()
+
+
+class VirtualEventLoop(SelectorEventLoop):
+    """An event loop whose time advances only through its timers.
+
+    Use it with ``anyio.run(..., backend_options={"loop_factory":
+    VirtualEventLoop})``. It handles no sockets and no threads.
+    """
+
+    def __init__(self) -> None:
+        self._virtual = _VirtualSelector()
+        super().__init__(self._virtual)
+        self._clock_resolution = CLOCK_RESOLUTION_S
+
+    def time(self) -> float:
+        """Return the virtual time in seconds since the loop was made."""
+        return self._virtual.now
+
+    def call_at(
+        self,
+        when: float,
+        callback: Callable,
+        *args: Any,
+        context: Context | None = None,
+    ) -> TimerHandle:
+        """Schedule a callback in the process of its context."""
+        context = copy_context() if context is None else context
+        process = context.get(_CURRENT_PROCESS)
+        if process is None:
+            return super().call_at(when, callback, *args, context=context)
+        timer = _ProcessTimerHandle(when, callback, args, self, context)
+        timer._process = process
+        self._add_timer(timer)
+        return timer
+
+    def call_soon(
+        self, callback: Callable, *args: Any, context: Context | None = None
+    ) -> Handle:
+        """Run a callback in the next round, in the process of its context."""
+        context = copy_context() if context is None else context
+        process = context.get(_CURRENT_PROCESS)
+        if process is None:
+            return super().call_soon(callback, *args, context=context)
+        handle = _ProcessHandle(callback, args, self, context)
+        handle._process = process
+        self._ready.append(handle)
+        return handle
+
+    def requeue(self, handles: list[Handle]) -> None:
+        """Run handles of a resumed process in the next round."""
+        self._ready.extend(handles)
+
+    def _add_timer(self, timer: TimerHandle) -> None:
+        # Same steps as BaseEventLoop.call_at, which offers no hook for the class
+        # of the handle.
+        heappush(self._scheduled, timer)
+        timer._scheduled = True
+
+
+class VirtualClock(Clock):
+    """Reads the time of a virtual loop.
+
+    Args:
+        loop: The loop; the running one when it is not given.
+    """
+
+    __slots__ = ("_loop",)
+
+    def __init__(self, loop: AbstractEventLoop | None = None) -> None:
+        self._loop = get_running_loop() if loop is None else loop
+
+    def monotonic(self) -> float:
+        """Return the virtual time in seconds."""
+        return self._loop.time()
+
+    def wall(self) -> float:
+        """Return the virtual time since a fixed origin."""
+        return self._loop.time() + WALL_ORIGIN_S
+
+
+class ProcessClock(VirtualClock):
+    """The clocks of one simulated process; its wall clock can step.
+
+    Args:
+        loop: The loop; the running one when it is not given.
+    """
+
+    __slots__ = ("_wall_step",)
+
+    def __init__(self, loop: AbstractEventLoop | None = None) -> None:
+        super().__init__(loop)
+        self._wall_step = 0.0
+
+    def wall(self) -> float:
+        """Return the virtual time since a fixed origin, plus all steps."""
+        return super().wall() + self._wall_step
+
+    def step_wall(self, seconds: float) -> None:
+        """Step the wall clock; the monotonic clock is not affected."""
+        self._wall_step += seconds
