--- /dev/null
+++ b/src/magnoliaslip/proof/network.py
@@ -0,0 +1,273 @@
+"""The simulated network: zones, delays, loss, cuts and silent streams.
+
+Every delay and loss comes from one seeded random source, so that the same seed
+gives the same order of arrivals.
+"""
+
+from collections import Counter
+from collections.abc import Callable
+from contextvars import copy_context
+from dataclasses import dataclass
+from random import Random
+from typing import Any
+
+from magnoliaslip.proof.virtual_loop import SimProcess, VirtualEventLoop
+
+CALLERS = "callers"
+PLATFORM = "platform"
+
+SAME_ZONE_DELAY_S = 0.0002
+PLATFORM_DELAY_S = 0.002
+# Datagrams that the socket buffer of a paused process holds: 208 KiB, the default
+# of Linux, over 832 bytes of buffer for each small datagram.
+SOCKET_BUFFER_DATAGRAMS = 256
+# First retransmission timeout of TCP on Linux; delays what follows on the stream.
+STREAM_RETRANSMIT_S = 0.2
+# A silent stream is replaced after 1.5 s of silence, and dialing takes some ms.
+STREAM_REPLACE_S = 1.6
+
+
+@dataclass(slots=True, frozen=True)
+class LinkQuality:
+    """How packets fare between two places.
+
+    Attributes:
+        jitter_s: Largest random addition to the delay of a packet; also reorders.
+        loss: Share of packets that are lost.
+        duplicate: Share of packets that arrive twice.
+        control_faults: Share of control messages that are lost, and the same share
+            each that is repeated and overtaken.
+    """
+
+    jitter_s: float = 0.0
+    loss: float = 0.0
+    duplicate: float = 0.0
+    control_faults: float = 0.0
+
+
+CLEAN = LinkQuality(jitter_s=0.0003)
+INTER_ZONE = LinkQuality(jitter_s=0.002, loss=0.002, duplicate=0.0005)
+
+
+@dataclass(slots=True)
+class NetworkNode:
+    """An end point: an instance, a backend server, the callers or the platform.
+
+    Attributes:
+        name: Unique name.
+        zone: Availability zone; empty for callers and platform.
+        process: The simulated process that handles arrivals, if it can pause.
+        waiting: Datagrams in the socket buffer of the paused process.
+    """
+
+    name: str
+    zone: str
+    process: SimProcess | None = None
+    waiting: int = 0
+
+
+class Network:
+    """Carries datagrams and stream messages between nodes.
+
+    Args:
+        loop: The virtual loop.
+        rng: Random source of delay and loss.
+        zone_delay_s: One-way delay between two availability zones in seconds.
+        caller_delay_s: One-way delay between callers and any zone in seconds.
+    """
+
+    def __init__(
+        self,
+        loop: VirtualEventLoop,
+        rng: Random,
+        *,
+        zone_delay_s: float,
+        caller_delay_s: float,
+    ) -> None:
+        self.loop = loop
+        self.lost: Counter[str] = Counter()
+        self.quality = INTER_ZONE
+        self._rng = rng
+        self._zone_delay_s = zone_delay_s
+        self._caller_delay_s = caller_delay_s
+        self._nodes: dict[str, NetworkNode] = {}
+        self._node_cuts: Counter[tuple[str, str]] = Counter()
+        self._zone_cuts: Counter[str] = Counter()
+        self._paths: dict[tuple[str, str], tuple[float, LinkQuality] | None] = {}
+        self._stream_due: dict[tuple[str, str], float] = {}
+        self._silent_until: dict[tuple[str, str], float] = {}
+        self._context = copy_context()
+
+    def add(self, name: str, zone: str = "", process: SimProcess | None = None) -> None:
+        """Add a node, or replace the one of the same name."""
+        self._nodes[name] = NetworkNode(name, zone, process)
+        self._paths.clear()
+
+    def remove(self, name: str) -> None:
+        """Remove a node; what is under way to it is lost."""
+        self._nodes.pop(name, None)
+        self._paths.clear()
+
+    def process_of(self, name: str) -> SimProcess | None:
+        """Return the process behind a node, if it has one."""
+        node = self._nodes.get(name)
+        return node.process if node else None
+
+    def zone_of(self, name: str) -> str:
+        """Return the availability zone of a node, empty when it has none."""
+        node = self._nodes.get(name)
+        return node.zone if node else ""
+
+    def cut(self, src: str, dst: str) -> None:
+        """Lose everything between two nodes, both ways; cuts add up."""
+        self._node_cuts[(src, dst)] += 1
+        self._node_cuts[(dst, src)] += 1
+        self._paths.clear()
+
+    def heal(self, src: str, dst: str) -> None:
+        """Undo one `cut`."""
+        self._node_cuts[(src, dst)] -= 1
+        self._node_cuts[(dst, src)] -= 1
+        self._paths.clear()
+
+    def cut_zone(self, zone: str) -> None:
+        """Cut a zone off from all other zones and the platform, not from callers."""
+        self._zone_cuts[zone] += 1
+        self._paths.clear()
+
+    def heal_zone(self, zone: str) -> None:
+        """Undo one `cut_zone`."""
+        self._zone_cuts[zone] -= 1
+        self._paths.clear()
+
+    def silence(self, src: str, dst: str) -> None:
+        """Make the open stream from one node to another silent until replaced."""
+        self._silent_until[(src, dst)] = self.loop.time() + STREAM_REPLACE_S
+
+    def set_quality(self, quality: LinkQuality) -> None:
+        """Change the quality of all paths between different zones."""
+        self.quality = quality
+        self._paths.clear()
+
+    def reachable(self, src: str, dst: str) -> bool:
+        """Whether packets can get from one node to another."""
+        return self._path(src, dst) is not None
+
+    def delay_s(self, src: str, dst: str) -> float | None:
+        """Return a random one-way delay in seconds; None when cut off."""
+        path = self._path(src, dst)
+        if path is None:
+            return None
+        return path[0] + self._rng.random() * path[1].jitter_s
+
+    def send(
+        self, src: str, dst: str, receive: Callable[..., None], *args: Any
+    ) -> None:
+        """Send a datagram: ``receive(*args)`` runs at the other end, perhaps twice.
+
+        Args:
+            src: The sending node.
+            dst: The receiving node.
+            receive: Called in the process of the receiving node.
+            args: Arguments of ``receive``.
+        """
+        path = self._path(src, dst)
+        if path is None:
+            self.lost["cut"] += 1
+            return
+        base, quality = path
+        rng = self._rng
+        if quality.loss and rng.random() < quality.loss:
+            self.lost["loss"] += 1
+            return
+        loop = self.loop
+        delay = base + rng.random() * quality.jitter_s
+        loop.call_at(
+            loop.time() + delay, self._arrive, dst, receive, args, context=self._context
+        )
+        if quality.duplicate and rng.random() < quality.duplicate:
+            delay = base + rng.random() * quality.jitter_s
+            due = loop.time() + delay
+            loop.call_at(due, self._arrive, dst, receive, args, context=self._context)
+
+    def send_stream(
+        self, src: str, dst: str, receive: Callable[..., None], *args: Any
+    ) -> None:
+        """Send a message on a stream: in order, later instead of lost.
+
+        A message is lost when the path is cut or the stream is silent, as the
+        stream is then replaced and its queue is discarded.
+        """
+        path = self._path(src, dst)
+        pair = (src, dst)
+        now = self.loop.time()
+        if path is None or self._silent_until.get(pair, 0.0) > now:
+            self.lost["stream"] += 1
+            return
+        base, quality = path
+        due = now + base + self._rng.random() * quality.jitter_s
+        if quality.loss and self._rng.random() < quality.loss:
+            due += STREAM_RETRANSMIT_S
+        fault = self._rng.random() if quality.control_faults else 1.0
+        if fault < quality.control_faults:
+            self.lost["control"] += 1
+            return
+        if fault < 2 * quality.control_faults:
+            late = due + STREAM_RETRANSMIT_S
+            self.loop.call_at(
+                late, self._arrive, dst, receive, args, context=self._context
+            )
+        elif fault < 3 * quality.control_faults:
+            due += STREAM_RETRANSMIT_S
+        else:
+            due = max(due, self._stream_due.get(pair, 0.0))
+            self._stream_due[pair] = due
+        self.loop.call_at(due, self._arrive, dst, receive, args, context=self._context)
+
+    def _arrive(self, dst: str, receive: Callable[..., None], args: tuple) -> None:
+        node = self._nodes.get(dst)
+        if node is None:
+            self.lost["gone"] += 1
+            return
+        process = node.process
+        if process is None:
+            receive(*args)
+        elif process.ended:
+            self.lost["gone"] += 1
+        elif not process.paused:
+            process.context.run(receive, *args)
+        elif node.waiting >= SOCKET_BUFFER_DATAGRAMS:
+            self.lost["buffer"] += 1
+        else:
+            node.waiting += 1
+            self.loop.call_soon(
+                self._arrive_late, node, receive, args, context=process.context
+            )
+
+    @staticmethod
+    def _arrive_late(
+        node: NetworkNode, receive: Callable[..., None], args: tuple
+    ) -> None:
+        node.waiting -= 1
+        receive(*args)
+
+    def _path(self, src: str, dst: str) -> tuple[float, LinkQuality] | None:
+        try:
+            return self._paths[(src, dst)]
+        except KeyError:
+            path = self._paths[(src, dst)] = self._find_path(src, dst)
+            return path
+
+    def _find_path(self, src: str, dst: str) -> tuple[float, LinkQuality] | None:
+        if self._node_cuts[(src, dst)] > 0:
+            return None
+        zones = self.zone_of(src), self.zone_of(dst)
+        if CALLERS in (src, dst):
+            return self._caller_delay_s, CLEAN
+        if zones[0] == zones[1]:
+            return SAME_ZONE_DELAY_S, CLEAN
+        if any(self._zone_cuts[zone] > 0 for zone in zones if zone):
+            return None
+        if PLATFORM in (src, dst):
+            return PLATFORM_DELAY_S, CLEAN
+        return self._zone_delay_s, self.quality
--- /dev/null
+++ b/src/magnoliaslip/proof/sim_links.py
@@ -0,0 +1,121 @@
+"""Packet and peer links of a simulated instance."""
+
+from collections import Counter
+from collections.abc import Callable, Mapping
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.links import Direction, PacketLink, PeerLink
+from magnoliaslip.packet.tunnel import Relay
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.proof.network import CALLERS, Network
+
+# gRPC prefixes a message with 5 bytes, HTTP/2 a DATA frame with 9.
+FRAME_BYTES = 14
+
+Receive = Callable[[bytes], None]
+
+
+class Directory:
+    """Who receives what on the simulated network.
+
+    Attributes:
+        datagrams: Handler of tunnel datagrams by instance.
+        messages: Handler of serialized control messages by instance.
+        servers: Network name and packet handler of backend servers by address.
+        callers: Handler of packets to callers.
+    """
+
+    __slots__ = ("callers", "datagrams", "messages", "servers")
+
+    def __init__(self, callers: Receive) -> None:
+        self.datagrams: dict[str, Receive] = {}
+        self.messages: dict[str, Receive] = {}
+        self.servers: dict[Address, tuple[str, Receive]] = {}
+        self.callers = callers
+
+
+class SimPacketLink(PacketLink):
+    """Sends inner packets over the simulated network.
+
+    Args:
+        instance_id: The sending instance.
+        network: The simulated network.
+        directory: Where packets go.
+        sent: Counts packets by kind: ``server``, ``caller`` and ``relay``.
+    """
+
+    __slots__ = ("_directory", "_id", "_network", "_sent")
+
+    def __init__(
+        self,
+        instance_id: str,
+        network: Network,
+        directory: Directory,
+        sent: Counter[str],
+    ) -> None:
+        self._id = instance_id
+        self._network = network
+        self._directory = directory
+        self._sent = sent
+
+    def send_to_server(self, server: Address, packet: bytes) -> None:
+        """Send an inner packet to a backend server."""
+        target = self._directory.servers.get(server)
+        if target is not None and self._alive():
+            self._sent["server"] += 1
+            self._network.send(self._id, target[0], target[1], packet)
+
+    def send_to_caller(self, packet: bytes) -> None:
+        """Send an inner packet to the callers."""
+        if self._alive():
+            self._sent["caller"] += 1
+            self._network.send(self._id, CALLERS, self._directory.callers, packet)
+
+    def relay(
+        self, instance_id: str, packet: bytes, *, direction: Direction, hops: int
+    ) -> None:
+        """Hand an inner packet to another instance in a relay tunnel."""
+        receive = self._directory.datagrams.get(instance_id)
+        if receive is not None and self._alive():
+            self._sent["relay"] += 1
+            payload = Relay(direction, hops, packet).encode()
+            self._network.send(self._id, instance_id, receive, payload)
+
+    def _alive(self) -> bool:
+        process = self._network.process_of(self._id)
+        return process is not None and not process.ended
+
+
+class SimPeerLink(PeerLink):
+    """Sends control messages over the simulated network and counts their bytes.
+
+    Args:
+        instance_id: The sending instance.
+        network: The simulated network.
+        messages: Handlers of serialized messages by instance.
+        sent_bytes: Bytes sent by instance, frame headers included.
+    """
+
+    __slots__ = ("_id", "_messages", "_network", "_sent_bytes")
+
+    def __init__(
+        self,
+        instance_id: str,
+        network: Network,
+        messages: Mapping[str, Receive],
+        sent_bytes: Counter[str],
+    ) -> None:
+        self._id = instance_id
+        self._network = network
+        self._messages = messages
+        self._sent_bytes = sent_bytes
+
+    def send(self, instance_id: str, msg: PeerMessage) -> None:
+        """Send a message as bytes, so that no object is shared between instances."""
+        receive = self._messages.get(instance_id)
+        process = self._network.process_of(self._id)
+        if receive is None or process is None or process.ended:
+            return
+        data = msg.SerializeToString()
+        self._sent_bytes[self._id] += len(data) + FRAME_BYTES
+        self._network.send_stream(self._id, instance_id, receive, data)
--- /dev/null
+++ b/src/magnoliaslip/proof/sim_platform.py
@@ -0,0 +1,174 @@
+"""The simulated platform: published values, watches, outages and staleness."""
+
+from collections import Counter
+from collections.abc import Mapping
+from random import Random
+
+from anyio import Event, move_on_after, sleep
+
+from magnoliaslip.config.platform import Platform, PlatformValue
+from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.proof.network import PLATFORM, Network
+from magnoliaslip.proof.virtual_loop import VirtualEventLoop
+
+# Time that `Platform` gives an answer before it raises an error.
+ANSWER_DEADLINE_S = 2.0
+
+
+class SimPlatform:
+    """The values of the platform, as its own store holds them.
+
+    Args:
+        loop: The virtual loop.
+        rng: Random source of uneven visibility.
+
+    Attributes:
+        down: Whether it answers nobody.
+        reads: Number of reads by reader; a waiting watch counts once.
+    """
+
+    def __init__(self, loop: VirtualEventLoop, rng: Random) -> None:
+        self.down = False
+        self.reads: Counter[str] = Counter()
+        self._loop = loop
+        self._rng = rng
+        self._values: dict[str, list[tuple[float, PlatformValue]]] = {}
+        self._changed = Event()
+        self._stale_since: float | None = None
+        self._spread_s = 0.0
+        self._lags: dict[tuple[str, str], float] = {}
+
+    @property
+    def stale(self) -> bool:
+        """Whether readers get values of the past only."""
+        return self._stale_since is not None
+
+    def publish(self, values: Mapping[str, bytes]) -> None:
+        """Store new values by key."""
+        now = self._loop.time()
+        for key, data in values.items():
+            entries = self._values.setdefault(key, [])
+            index = entries[-1][1].index + 1 if entries else 1
+            entries.append((now, PlatformValue(key, data, index)))
+        self.wake()
+
+    def set_stale(self, stale: bool) -> None:
+        """Freeze what readers see, or let them see the newest values again."""
+        self._stale_since = self._loop.time() if stale else None
+        self.wake()
+
+    def set_uneven(self, spread_s: float) -> None:
+        """Show news of each key to each reader after its own lag.
+
+        Args:
+            spread_s: Largest lag in seconds; 0 shows all news at once.
+        """
+        self._spread_s = spread_s
+        self._lags.clear()
+        self.wake()
+
+    def wake(self) -> None:
+        """Let all waiting watches look again."""
+        changed, self._changed = self._changed, Event()
+        changed.set()
+
+    def see(self, reader: str, key: str) -> PlatformValue | None:
+        """Return the value of a key that a reader sees now."""
+        now = self._loop.time() - self._lag(reader, key)
+        if self._stale_since is not None:
+            now = min(now, self._stale_since)
+        seen = [value for since, value in self._values.get(key, ()) if since <= now]
+        return seen[-1] if seen else None
+
+    async def wait_newer(self, reader: str, key: str, after: int) -> PlatformValue:
+        """Wait until a reader sees a value newer than ``after``."""
+        while True:
+            changed = self._changed
+            value = self.see(reader, key)
+            if value is not None and value.index > after:
+                return value
+            newest = self._values.get(key)
+            if newest and newest[-1][1].index > after and not self.stale:
+                wait_s = newest[-1][0] + self._lag(reader, key) - self._loop.time()
+                await sleep(max(wait_s, 0.001))
+            else:
+                await changed.wait()
+
+    def _lag(self, reader: str, key: str) -> float:
+        if not self._spread_s:
+            return 0.0
+        pair = (reader, key)
+        if pair not in self._lags:
+            self._lags[pair] = self._rng.random() * self._spread_s
+        return self._lags[pair]
+
+
+class SimPlatformClient(Platform):
+    """The platform as one instance reaches it.
+
+    Args:
+        reader: The instance.
+        network: The simulated network.
+        platform: The values.
+    """
+
+    __slots__ = ("_network", "_platform", "_reader", "_silence")
+
+    def __init__(self, reader: str, network: Network, platform: SimPlatform) -> None:
+        self._reader = reader
+        self._network = network
+        self._platform = platform
+        self._silence = 0
+
+    def silence(self) -> None:
+        """Make all waiting watches of this reader silent; new ones work."""
+        self._silence += 1
+
+    async def read(self, key: str) -> PlatformValue | None:
+        """Return a value as the platform shows it to this reader.
+
+        Raises:
+            PlatformError: The platform did not answer within 2 s.
+        """
+        now = self._network.loop.time()
+        await self._cross(now + ANSWER_DEADLINE_S)
+        self._platform.reads[self._reader] += 1
+        value = self._platform.see(self._reader, key)
+        await self._cross(now + ANSWER_DEADLINE_S)
+        return value
+
+    async def watch(
+        self, key: str, *, after: int, deadline: float
+    ) -> PlatformValue | None:
+        """Wait until this reader sees a value newer than ``after``.
+
+        Raises:
+            PlatformError: No answer came within 2 s after the deadline.
+        """
+        silence = self._silence
+        last = deadline + ANSWER_DEADLINE_S
+        await self._cross(last)
+        self._platform.reads[self._reader] += 1
+        value = None
+        with move_on_after(max(0.0, deadline - self._network.loop.time())):
+            value = await self._platform.wait_newer(self._reader, key, after)
+        if silence != self._silence:
+            await self._fail(last)
+        await self._cross(last)
+        return value
+
+    async def _cross(self, deadline: float) -> None:
+        """Cross the network one way, or fail at the deadline."""
+        delay = self._network.delay_s(self._reader, PLATFORM)
+        if delay is None or self._platform.down:
+            await self._fail(deadline)
+        else:
+            await sleep(delay)
+
+    async def _fail(self, deadline: float) -> None:
+        await sleep(max(0.0, deadline - self._network.loop.time()))
+        raise PlatformError(
+            "the platform did not answer",
+            place=self._reader,
+            remedy="check the path from the instance to the platform",
+        )
--- a/src/magnoliaslip/proof/virtual_loop.py
+++ b/src/magnoliaslip/proof/virtual_loop.py
@@ -133,11 +133,18 @@
             super()._run()
 
 
-class _ProcessTimerHandle(TimerHandle):
-    __slots__ = ("_process",)
+class _VirtualTimerHandle(TimerHandle):
+    """A timer; timers of one moment fire in the order in which they were set."""
+
+    __slots__ = ("_order", "_process")
+
+    def __lt__(self, other: "_VirtualTimerHandle") -> bool:
+        if self._when == other._when:
+            return self._order < other._order
+        return self._when < other._when
 
     def _run(self) -> None:
-        if self._process.paused:
+        if self._process is not None and self._process.paused:
             self._process.defer(self, self._loop)
         else:
             super()._run()
@@ -154,6 +161,7 @@
         self._virtual = _VirtualSelector()
         super().__init__(self._virtual)
         self._clock_resolution = CLOCK_RESOLUTION_S
+        self._timers_set = 0
 
     def time(self) -> float:
         """Return the virtual time in seconds since the loop was made."""
@@ -168,12 +176,14 @@
     ) -> TimerHandle:
         """Schedule a callback in the process of its context."""
         context = copy_context() if context is None else context
-        process = context.get(_CURRENT_PROCESS)
-        if process is None:
-            return super().call_at(when, callback, *args, context=context)
-        timer = _ProcessTimerHandle(when, callback, args, self, context)
-        timer._process = process
-        self._add_timer(timer)
+        timer = _VirtualTimerHandle(when, callback, args, self, context)
+        timer._process = context.get(_CURRENT_PROCESS)
+        self._timers_set += 1
+        timer._order = self._timers_set
+        # Same steps as BaseEventLoop.call_at, which offers no hook for the class of
+        # the handle.
+        heappush(self._scheduled, timer)
+        timer._scheduled = True
         return timer
 
     def call_soon(
@@ -193,12 +203,6 @@
         """Run handles of a resumed process in the next round."""
         self._ready.extend(handles)
 
-    def _add_timer(self, timer: TimerHandle) -> None:
-        # Same steps as BaseEventLoop.call_at, which offers no hook for the class
-        # of the handle.
-        heappush(self._scheduled, timer)
-        timer._scheduled = True
-
 
 class VirtualClock(Clock):
     """Reads the time of a virtual loop.
--- /dev/null
+++ b/tests/proof/test_network.py
@@ -0,0 +1,204 @@
+"""Guards against a simulated network that is kinder than the real one."""
+
+from asyncio import get_running_loop
+from collections import Counter
+from random import Random
+
+import pytest
+from anyio import create_task_group, run, sleep
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.links import Direction
+from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
+from magnoliaslip.proof.fabric import Fabric
+from magnoliaslip.proof.network import LinkQuality, Network
+from magnoliaslip.proof.sim_links import Directory, SimPacketLink, SimPeerLink
+from magnoliaslip.proof.sim_platform import SimPlatform, SimPlatformClient
+from magnoliaslip.proof.virtual_loop import SimProcess, VirtualEventLoop
+
+
+def run_virtual(function):
+    return run(function, backend_options={"loop_factory": VirtualEventLoop})
+
+
+def make_network(seed=1):
+    network = Network(
+        get_running_loop(), Random(seed), zone_delay_s=0.003, caller_delay_s=0.001
+    )
+    for name, zone in (("i1", "a"), ("i2", "b"), ("i3", "b")):
+        network.add(name, zone, SimProcess(name))
+    network.add("callers")
+    network.add("platform")
+    return network
+
+
+def test_loss_duplication_and_reordering_happen_and_repeat_with_the_seed():
+    async def main():
+        network = make_network()
+        network.set_quality(LinkQuality(jitter_s=0.01, loss=0.1, duplicate=0.1))
+        seen = []
+        for number in range(1000):
+            network.send("i1", "i2", seen.append, number)
+        await sleep(1)
+        return seen
+
+    seen = run_virtual(main)
+    assert 850 < len(set(seen)) < 950
+    assert len(seen) > len(set(seen))
+    assert seen != sorted(seen)
+    assert run_virtual(main) == seen
+
+
+def test_cuts_of_pairs_and_zones_stop_both_ways_until_healed():
+    async def main():
+        network = make_network()
+        network.cut_zone("b")
+        assert not network.reachable("i1", "i2")
+        assert not network.reachable("i2", "platform")
+        assert network.reachable("i2", "i3")
+        assert network.reachable("callers", "i2")
+        network.heal_zone("b")
+        network.cut("i1", "i2")
+        assert not network.reachable("i2", "i1")
+        assert network.reachable("i1", "i3")
+        network.heal("i1", "i2")
+        assert network.reachable("i2", "i1")
+
+    run_virtual(main)
+
+
+def test_arrivals_at_a_paused_process_wait_in_a_bounded_buffer():
+    async def main():
+        network = make_network()
+        network.set_quality(LinkQuality())
+        seen = []
+        network.process_of("i2").pause()
+        for number in range(300):
+            network.send("i1", "i2", seen.append, number)
+        await sleep(1)
+        assert seen == []
+        network.process_of("i2").resume()
+        await sleep(0)
+        assert seen == list(range(256))
+
+    run_virtual(main)
+
+
+def test_stream_keeps_order_and_a_silent_one_loses_until_replaced():
+    async def main():
+        network = make_network()
+        network.set_quality(LinkQuality(jitter_s=0.01, loss=0.2))
+        seen = []
+        for number in range(100):
+            network.send_stream("i1", "i2", seen.append, number)
+        await sleep(1)
+        assert seen == list(range(100))
+        network.silence("i1", "i2")
+        network.send_stream("i1", "i2", seen.append, "lost")
+        network.send_stream("i2", "i1", seen.append, "other way")
+        await sleep(2)
+        network.send_stream("i1", "i2", seen.append, "replaced")
+        await sleep(1)
+        assert seen[100:] == ["other way", "replaced"]
+
+    run_virtual(main)
+
+
+def test_links_reach_servers_peers_and_callers_and_count_control_bytes():
+    async def main():
+        network = make_network()
+        seen = []
+        directory = Directory(lambda packet: seen.append(("caller", packet)))
+        directory.datagrams["i2"] = lambda data: seen.append(("relay", data))
+        directory.messages["i2"] = lambda data: seen.append(
+            ("peer", PeerMessage.FromString(data).heartbeat.number)
+        )
+        server = Address("127.0.0.1", 6080)
+        network.add("s", "a")
+        directory.servers[server] = ("s", lambda packet: seen.append(("s", packet)))
+        sent, sent_bytes = Counter(), Counter()
+        link = SimPacketLink("i1", network, directory, sent)
+        link.send_to_server(server, b"E1")
+        link.send_to_caller(b"E2")
+        link.relay("i2", b"E3", direction=Direction.REQUEST, hops=1)
+        msg = PeerMessage(heartbeat=Heartbeat(number=7))
+        SimPeerLink("i1", network, directory.messages, sent_bytes).send("i2", msg)
+        await sleep(1)
+        assert sorted(kind for kind, _ in seen) == ["caller", "peer", "relay", "s"]
+        assert ("peer", 7) in seen
+        assert sent == {"server": 1, "caller": 1, "relay": 1}
+        assert sent_bytes["i1"] == msg.ByteSize() + 14
+        network.process_of("i1").ended = True
+        link.send_to_caller(b"after the kill")
+        await sleep(1)
+        assert len(seen) == 4
+
+    run_virtual(main)
+
+
+def test_fabric_sprays_over_all_and_leaves_unreachable_ones_after_its_lag():
+    async def main():
+        network = make_network()
+        fabric = Fabric(network, Random(2))
+        seen = Counter()
+        for name in ("i1", "i2", "i3"):
+            fabric.add(name, lambda packet, name=name: seen.update([name]))
+        network.add("s", "b")
+        for _ in range(300):
+            fabric.from_caller(b"E")
+        await sleep(1)
+        assert all(seen[name] > 70 for name in ("i1", "i2", "i3"))
+        network.cut_zone("b")
+        fabric.refresh_late()
+        await sleep(1.1)
+        seen.clear()
+        for _ in range(100):
+            fabric.from_server("s", b"E")
+        await sleep(1)
+        assert set(seen) == {"i2", "i3"}
+
+    run_virtual(main)
+
+
+def test_platform_watch_wakes_on_news_and_fails_when_silent_down_or_cut():
+    async def main():
+        network = make_network()
+        loop = get_running_loop()
+        platform = SimPlatform(loop, Random(3))
+        client = SimPlatformClient("i2", network, platform)
+        platform.publish({"index": b"1"})
+        value = await client.read("index")
+        assert (value.data, value.index) == (b"1", 1)
+        assert await client.read("pools/9") is None
+        watched = []
+
+        async def watch():
+            watched.append(await client.watch("index", after=1, deadline=30))
+
+        async with create_task_group() as tasks:
+            tasks.start_soon(watch)
+            await sleep(1)
+            platform.publish({"index": b"2"})
+        assert watched[0].data == b"2"
+        assert await client.watch("index", after=2, deadline=loop.time() + 1) is None
+        platform.set_stale(True)
+        await sleep(0.1)
+        platform.publish({"index": b"3"})
+        assert (await client.read("index")).data == b"2"
+        platform.set_stale(False)
+        assert (await client.read("index")).data == b"3"
+        platform.set_uneven(4.0)
+        platform.publish({"index": b"4"})
+        assert (await client.watch("index", after=3, deadline=loop.time() + 9)).index
+        platform.down = True
+        with pytest.raises(PlatformError):
+            await client.read("index")
+        platform.down = False
+        network.cut("i2", "platform")
+        before = loop.time()
+        with pytest.raises(PlatformError):
+            await client.watch("index", after=4, deadline=before + 1)
+        assert loop.time() == before + 3
+
+    run_virtual(main)
