Add the history checker, its ten rules and their mutations

Each rule is a class that reads facts derived once from the merged records. Time during which an instance had no path to the news does not count; a pause counts for rule 4 and not for rule 10.

--- /dev/null
+++ b/src/magnoliaslip/proof/facts.py
@@ -0,0 +1,231 @@
+"""Facts that several rules need, derived once from a history."""
+
+from bisect import bisect_right
+from collections import defaultdict
+from dataclasses import dataclass
+from functools import cached_property
+from itertools import pairwise
+from math import inf
+
+from magnoliaslip.proof.history import History, Record
+
+Span = tuple[float, float]  # begin and end in seconds; the end is excluded
+
+ENDINGS = ("reset", "timeout", "closed")
+
+
+@dataclass(slots=True, frozen=True)
+class Life:
+    """One run of an instance's process, from its start to its end.
+
+    Attributes:
+        instance: Identifier of the instance.
+        begin: When it started, in seconds.
+        end: When it stopped or was killed; infinite when it did not.
+    """
+
+    instance: str
+    begin: float
+    end: float
+
+
+@dataclass(slots=True, frozen=True)
+class ZoneOut:
+    """One time during which an availability zone is published as out."""
+
+    zone: str
+    begin: float
+    end: float
+
+
+class Facts:
+    """What a history says about processes, servers, zones and flows.
+
+    Args:
+        history: The history.
+    """
+
+    def __init__(self, history: History) -> None:
+        self.history = history
+
+    @cached_property
+    def lives(self) -> list[Life]:
+        """All runs of all instances."""
+        kills: dict[str, list[float]] = defaultdict(list)
+        for record in self.history.of("fault"):
+            if record["fault"] == "kill" and record["phase"] == "begin":
+                kills[record["target"]].append(record.t)
+        starts: dict[str, list[float]] = defaultdict(list)
+        stops: dict[str, list[float]] = defaultdict(list)
+        for record in self.history.of("state"):
+            if record["state"] == "joining" or not starts[record.who]:
+                starts[record.who].append(record.t)
+            if record["state"] == "stopped":
+                stops[record.who].append(record.t)
+        lives = []
+        for instance, begins in starts.items():
+            ends = sorted(kills[instance] + stops[instance])
+            for begin, following in zip(begins, [*begins[1:], inf], strict=True):
+                end = next((t for t in ends if begin <= t <= following), following)
+                lives.append(Life(instance, begin, end))
+        return lives
+
+    @cached_property
+    def without_news(self) -> dict[str, list[Span]]:
+        """When no path to the news existed, by instance.
+
+        Fault records carry ``cut_off``: all instances that have no path to the
+        platform, directly or through others, from that moment on.
+        """
+        spans: dict[str, list[Span]] = defaultdict(list)
+        since: dict[str, float] = {}
+        for record in self.history.of("fault"):
+            cut_off = record.get("cut_off")
+            if cut_off is None:
+                continue
+            for instance in [i for i in since if i not in cut_off]:
+                spans[instance].append((since.pop(instance), record.t))
+            for instance in cut_off:
+                since.setdefault(instance, record.t)
+        for instance, begin in since.items():
+            spans[instance].append((begin, inf))
+        return spans
+
+    @cached_property
+    def pauses(self) -> dict[str, list[Span]]:
+        """When a process did not run, by process."""
+        return self.fault_spans("pause")
+
+    def fault_spans(self, fault: str) -> dict[str, list[Span]]:
+        """Return when a fault was present, by target."""
+        spans: dict[str, list[Span]] = defaultdict(list)
+        since: dict[str, float] = {}
+        for record in self.history.of("fault"):
+            if record["fault"] != fault:
+                continue
+            if record["phase"] == "begin":
+                since.setdefault(record["target"], record.t)
+            elif record["target"] in since:
+                target = record["target"]
+                spans[target].append((since.pop(target), record.t))
+        for target, begin in since.items():
+            spans[target].append((begin, inf))
+        return spans
+
+    def news_deadline(
+        self, instance: str, published: float, bound_s: float, *, pauses: bool
+    ) -> float:
+        """Return when an instance must act on news.
+
+        Args:
+            instance: The instance.
+            published: When the news was published, in seconds.
+            bound_s: Time it may take while a path to the news exists, in seconds.
+            pauses: Whether time during which the process was paused does not count.
+
+        Returns:
+            The end of the first time of ``bound_s`` during which a path existed.
+        """
+        blocked = list(self.without_news.get(instance, ()))
+        if pauses:
+            blocked += self.pauses.get(instance, ())
+        deadline = published + bound_s
+        for begin, end in sorted(blocked):
+            if begin < deadline and end > published:
+                deadline = max(deadline, end + bound_s)
+        return deadline
+
+    @cached_property
+    def zones_out(self) -> list[ZoneOut]:
+        """All times during which a zone is published as out."""
+        outs, since = [], {}
+        for record in self.history.of("publish"):
+            if not record.get("accepted", True):
+                continue
+            now_out = set(record["zones_out"])
+            for zone in sorted(set(since) - now_out):
+                outs.append(ZoneOut(zone, since.pop(zone), record.t))
+            for zone in sorted(now_out):
+                since.setdefault(zone, record.t)
+        outs += [ZoneOut(zone, begin, inf) for zone, begin in since.items()]
+        return outs
+
+    @cached_property
+    def server_states(self) -> dict[str, list[Record]]:
+        """State records by server."""
+        states: dict[str, list[Record]] = defaultdict(list)
+        for record in self.history.of("server_state"):
+            states[record["server"]].append(record)
+        return states
+
+    @cached_property
+    def server_faults(self) -> dict[str, list[float]]:
+        """When a fault began whose target is a server, by server."""
+        faults: dict[str, list[float]] = defaultdict(list)
+        for record in self.history.of("fault"):
+            if record["phase"] == "begin" and record["target"] in self.server_states:
+                faults[record["target"]].append(record.t)
+        return faults
+
+    @cached_property
+    def restarts(self) -> dict[str, list[float]]:
+        """When a server lost all its flows or stopped, by server."""
+        found: dict[str, list[float]] = defaultdict(list)
+        for server, states in self.server_states.items():
+            for before, record in pairwise(states):
+                state, bears = record["state"], record["bears"]
+                # A server notes each change, and notes its state again when it
+                # restarts; only a restart lowers what a cold server bears.
+                fell = state == "cold" and (
+                    before["state"] != "cold" or bears <= before["bears"]
+                )
+                again = state == before["state"] == "warm" and bears == before["bears"]
+                if fell or again or state == "stopped":
+                    found[server].append(record.t)
+        return found
+
+    @cached_property
+    def calls(self) -> dict[str, list[Record]]:
+        """Records of callers by flow."""
+        calls: dict[str, list[Record]] = defaultdict(list)
+        for record in self.history.of("call"):
+            calls[record["flow"]].append(record)
+        return calls
+
+    @cached_property
+    def homes(self) -> dict[str, tuple[str, str]]:
+        """Server and zone of each established flow.
+
+        The server is the one that worked on a request of the flow; without one, the
+        target of the last forwarded opening packet before it was established.
+        """
+        zones = {r["server"]: r["zone"] for r in self.history.of("forward")}
+        homes = {}
+        for record in self.history.of("request"):
+            homes.setdefault(record["flow"], record["server"])
+        for flow, calls in self.calls.items():
+            established = next(
+                (r.t for r in calls if r["phase"] == "established"), None
+            )
+            if flow in homes or established is None:
+                continue
+            opens = [
+                record["server"]
+                for record in self.history.flows[flow]
+                if record.kind == "forward"
+                and record["segment"] == "open"
+                and record.t <= established
+            ]
+            if opens:
+                homes[flow] = opens[-1]
+        return {flow: (server, zones.get(server, "")) for flow, server in homes.items()}
+
+    def state_of(self, server: str, t: float) -> Record | None:
+        """Return the state record of a server that holds at a time."""
+        states = self.server_states.get(server, [])
+        at = bisect_right(states, t, key=lambda record: record.t)
+        return states[at - 1] if at else None
+
+    def stated_slots(self, server: str) -> int:
+        """Return the most requests at a time that a server ever stated to bear."""
+        return max((r["bears"] for r in self.server_states.get(server, ())), default=0)
--- /dev/null
+++ b/src/magnoliaslip/proof/flow_rules.py
@@ -0,0 +1,162 @@
+"""Rules about flows and requests: R1, R2, R5, R6 and R7."""
+
+from collections import Counter
+from collections.abc import Iterator
+
+from magnoliaslip.proof.facts import ENDINGS, Facts
+from magnoliaslip.proof.history import Record
+from magnoliaslip.proof.rule import Rule, Violation
+
+
+class FlowSurvival(Rule):
+    """R1: no established flow breaks while its server is reachable.
+
+    Given up are flows whose availability zone is taken out and flows of a server
+    that lost them itself.
+    """
+
+    name = "R1"
+    title = "established flows survive"
+
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield each established flow that was reset or timed out."""
+        for flow, calls in facts.calls.items():
+            established = next(
+                (r.t for r in calls if r["phase"] == "established"), None
+            )
+            if established is None:
+                continue
+            for record in calls:
+                if record.t >= established and record["phase"] in ("reset", "timeout"):
+                    if not self._excused(facts, flow, established, record):
+                        server, _ = facts.homes.get(flow, ("no server", ""))
+                        message = (
+                            f"established flow to {server} ended by {record['phase']}"
+                        )
+                        yield self.violation(facts, record, message)
+                    break
+
+    @staticmethod
+    def _excused(facts: Facts, flow: str, established: float, end: Record) -> bool:
+        server, zone = facts.homes.get(flow, ("", ""))
+        if any(
+            out.zone == zone and out.begin <= end.t and out.end >= established
+            for out in facts.zones_out
+        ):
+            return True
+        own_ends = facts.restarts.get(server, []) + facts.server_faults.get(server, [])
+        if any(established <= t <= end.t for t in own_ends):
+            return True
+        # A shed request that was not retried in time ends in a timeout of the call;
+        # its flow is intact.
+        work = [
+            record["phase"]
+            for record in facts.history.flows[flow]
+            if record.kind == "request" and record["request"] == end["request"]
+        ]
+        return end["phase"] == "timeout" and work[-1:] == ["shed"]
+
+
+class ServiceIsolation(Rule):
+    """R2: packets of a flow reach servers of its own service only."""
+
+    name = "R2"
+    title = "no packet reaches another service"
+
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield each packet that was sent to or seen by a foreign server."""
+        wanted = {flow: calls[0]["service"] for flow, calls in facts.calls.items()}
+        owners = {
+            record["server"]: record["service"]
+            for record in facts.history.of("server_state")
+        }
+        for kind in ("forward", "segment"):
+            for record in facts.history.of(kind):
+                service = wanted.get(record["flow"])
+                got = owners.get(record["server"], record["service"])
+                if service is not None and got != service:
+                    message = (
+                        f"packet for {service} reached {record['server']} of {got}"
+                    )
+                    yield self.violation(facts, record, message)
+
+
+class WholeAnswer(Rule):
+    """R5: a caller gets the whole answer to its own request."""
+
+    name = "R5"
+    title = "whole answers to own requests"
+
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield incomplete, foreign and missing answers."""
+        ran: set[tuple[str, str, str]] = set()
+        shed: set[tuple[str, str]] = set()
+        for record in facts.history.of("request"):
+            if record["phase"] == "shed":
+                shed.add((record["flow"], record["request"]))
+            else:
+                ran.add((record["flow"], record["request"], record["server"]))
+        for flow, calls in facts.calls.items():
+            waiting = ""
+            for record in calls:
+                phase, request = record["phase"], record["request"]
+                if phase == "sent":
+                    waiting = request
+                elif phase == "answered":
+                    waiting = ""
+                    if not record["complete"]:
+                        yield self.violation(facts, record, "incomplete answer")
+                    elif (flow, request, record["answered_by"]) not in ran:
+                        message = (
+                            f"answer to {request} came from {record['answered_by']}, "
+                            "which did not run it on this flow"
+                        )
+                        yield self.violation(facts, record, message)
+                elif phase in ENDINGS:
+                    if phase == "closed" and waiting and (flow, waiting) not in shed:
+                        message = f"flow closed without an answer to {waiting}"
+                        yield self.violation(facts, record, message)
+                    waiting = ""
+
+
+class TrueRefusal(Rule):
+    """R6: what was refused as not run did not run and never will."""
+
+    name = "R6"
+    title = "a refusal that says not run is true"
+
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield each refused open whose flow reached a request."""
+        started: dict[str, Record] = {}
+        for record in facts.history.of("request"):
+            if record["phase"] == "start":
+                started.setdefault(record["flow"], record)
+        refusals = [r for r in facts.history.of("call") if r["phase"] == "refused"]
+        for record in refusals + facts.history.of("refuse"):
+            run = started.get(record["flow"])
+            if run is not None:
+                message = (
+                    f"refused as not run, but {run['server']} ran {run['request']} "
+                    f"at {run.t:.3f}"
+                )
+                yield self.violation(facts, record, message)
+
+
+class RunOnce(Rule):
+    """R7: a request that is not idempotent runs at most once."""
+
+    name = "R7"
+    title = "non-idempotent requests run at most once"
+
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield each further run of a request that is not idempotent."""
+        runs: Counter[str] = Counter()
+        for record in facts.history.of("request"):
+            if record["phase"] == "start" and not record["idempotent"]:
+                runs[record["request"]] += 1
+                if runs[record["request"]] > 1:
+                    message = (
+                        f"{record['request']} ran {runs[record['request']]} times, "
+                        f"now on {record['server']}"
+                    )
+                    yield self.violation(facts, record, message)
--- /dev/null
+++ b/src/magnoliaslip/proof/mutations.py
@@ -0,0 +1,291 @@
+"""Seeded mutations of a good history, one per rule.
+
+Each one makes exactly its own rule fail. A rule that still passes has a check that
+cannot fail, which is a defect of the checker.
+"""
+
+from abc import ABC, abstractmethod
+from random import Random
+from typing import ClassVar
+
+from magnoliaslip.proof.change_rules import IN_FORCE_S, SERVER_LEAVING_S, ZONE_OUT_S
+from magnoliaslip.proof.facts import Facts
+from magnoliaslip.proof.history import History, Record
+
+
+class Mutation(ABC):
+    """A change of a good history that breaks one rule.
+
+    Attributes:
+        rule: Name of the rule that must fail.
+    """
+
+    rule: ClassVar[str]
+
+    @abstractmethod
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Return the records of the changed history."""
+
+    def apply(self, history: History, seed: int) -> History:
+        """Return the changed history; the given one stays as it is.
+
+        Raises:
+            LookupError: The history holds nothing that the mutation could change.
+        """
+        return History(self.change(Facts(history), Random(seed)))
+
+
+def _copy(record: Record, t: float | None = None, **fields: object) -> Record:
+    """Return a record with another time or other fields."""
+    at = record.t if t is None else t
+    return Record(at, record.who, record.kind, {**record.fields, **fields})
+
+
+def _pick(rng: Random, records: list[Record]) -> Record:
+    if not records:
+        raise LookupError("the history holds no record that fits this mutation")
+    return rng.choice(records)
+
+
+def _replace(facts: Facts, old: Record, new: Record | None) -> list[Record]:
+    records = [record for record in facts.history.records if record is not old]
+    return [*records, new] if new else records
+
+
+def _answered(facts: Facts) -> list[Record]:
+    """Return full answers on flows with one request and no excuse to break."""
+    excused = {out.zone for out in facts.zones_out}
+    troubled = {*facts.restarts, *facts.server_faults}
+    found = []
+    for flow, calls in facts.calls.items():
+        server, zone = facts.homes.get(flow, ("", ""))
+        answers = [r for r in calls if r["phase"] == "answered" and r["complete"]]
+        if len(answers) == 1 and zone not in excused and server not in troubled:
+            found += answers
+    return found
+
+
+class BrokenFlow(Mutation):
+    """A reset takes the place of an answer."""
+
+    rule = "R1"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Turn one answer into a reset and drop what follows on the flow."""
+        answer = _pick(rng, _answered(facts))
+        new = _copy(answer, phase="reset", complete=False, answered_by="")
+        return [
+            record
+            for record in _replace(facts, answer, new)
+            if not (
+                record.kind == "call"
+                and record["flow"] == answer["flow"]
+                and record.t > answer.t
+            )
+        ]
+
+
+class ForeignPacket(Mutation):
+    """A packet is seen by a server of another service."""
+
+    rule = "R2"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Repeat one packet on a server of another service."""
+        record = _pick(
+            rng, [r for r in facts.history.of("segment") if r["flow"] in facts.calls]
+        )
+        foreign = _pick(
+            rng,
+            [
+                state
+                for state in facts.history.of("server_state")
+                if state["service"] != record["service"]
+            ],
+        )
+        copied = _copy(record, server=foreign["server"], service=foreign["service"])
+        return [*facts.history.records, copied]
+
+
+class OverloadedColdServer(Mutation):
+    """A cold server starts one request more than it has slots."""
+
+    rule = "R3"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Add idempotent requests that run at the same time on a cold server."""
+        state = _pick(
+            rng,
+            [r for r in facts.history.of("server_state") if r["state"] == "cold"],
+        )
+        slots = facts.stated_slots(state["server"])
+        added = []
+        for number in range(slots + 1):
+            fields = {
+                "server": state["server"],
+                "service": state["service"],
+                "flow": "",
+                "request": f"mutation-{number}",
+                "idempotent": True,
+            }
+            for phase, delay in (("start", 0.01), ("end", 0.05)):
+                added.append(
+                    Record(
+                        state.t + delay,
+                        state.who,
+                        "request",
+                        {**fields, "phase": phase},
+                    )
+                )
+        return facts.history.records + added
+
+
+class PacketToZoneOut(Mutation):
+    """A packet goes to a zone that has been out for longer than the target."""
+
+    rule = "R4"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Repeat one mid-flow packet after the deadline of its zone."""
+        spans = {
+            out.zone: out
+            for out in facts.zones_out
+            if min(out.end, facts.history.end) - out.begin > ZONE_OUT_S + 0.1
+        }
+        record = _pick(
+            rng,
+            [
+                r
+                for r in facts.history.of("forward")
+                if r["zone"] in spans and r["segment"] != "open"
+            ],
+        )
+        late = spans[record["zone"]].begin + ZONE_OUT_S + 0.05
+        return [*facts.history.records, _copy(record, late)]
+
+
+class CutAnswer(Mutation):
+    """A caller gets part of an answer, or that of another server."""
+
+    rule = "R5"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Make one answer incomplete or foreign."""
+        answer = _pick(rng, _answered(facts))
+        fields = rng.choice([{"complete": False}, {"answered_by": "another"}])
+        return _replace(facts, answer, _copy(answer, **fields))
+
+
+class FalseRefusal(Mutation):
+    """A caller is told that a request did not run that ran."""
+
+    rule = "R6"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Add a refusal to a flow whose request ran."""
+        request = _pick(
+            rng, [r for r in facts.history.of("request") if r["phase"] == "start"]
+        )
+        refusal = Record(
+            request.t + 0.001,
+            "i1",
+            "refuse",
+            {"flow": request["flow"], "service": request["service"]},
+        )
+        return [*facts.history.records, refusal]
+
+
+class SecondRun(Mutation):
+    """A request that is not idempotent runs twice."""
+
+    rule = "R7"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Repeat the run of one such request after its end."""
+        runs = [
+            r
+            for r in facts.history.of("request")
+            if not r["idempotent"]
+            and r["phase"] == "start"
+            and r["server"] not in facts.restarts
+        ]
+        start = _pick(rng, runs)
+        end = next(
+            r
+            for r in facts.history.of("request")
+            if r["request"] == start["request"] and r["phase"] == "end"
+        )
+        again = [_copy(start, end.t + 0.001), _copy(end, end.t + 0.002)]
+        return facts.history.records + again
+
+
+class OpenOnLeavingServer(Mutation):
+    """A new flow is opened on a server that has long been leaving."""
+
+    rule = "R8"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Copy an opening packet to the server after its deadline."""
+        state = _pick(
+            rng,
+            [r for r in facts.history.of("server_state") if r["state"] == "draining"],
+        )
+        known = [
+            r for r in facts.history.of("forward") if r["server"] == state["server"]
+        ]
+        late = _copy(
+            _pick(rng, known),
+            state.t + SERVER_LEAVING_S + 0.05,
+            segment="open",
+            flow="0a0fffffc6336464ffff01bb",
+        )
+        return [*facts.history.records, late]
+
+
+class UnannouncedStop(Mutation):
+    """An instance stops without having announced it."""
+
+    rule = "R9"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Drop one announcement of a stop."""
+        record = _pick(
+            rng, [r for r in facts.history.of("state") if r["state"] == "leaving"]
+        )
+        return _replace(facts, record, None)
+
+
+class LateConfig(Mutation):
+    """A configuration comes into force too late, or reverts."""
+
+    rule = "R10"
+
+    def change(self, facts: Facts, rng: Random) -> list[Record]:
+        """Delay one configuration, or add the one before after it."""
+        final = facts.history.of("publish")[-1]
+        configs = [
+            r
+            for r in facts.history.of("config")
+            if r["version"] == final["version"]
+            and r.t < facts.history.end - 2 * IN_FORCE_S
+        ]
+        record = _pick(rng, configs)
+        if rng.random() < 0.5:
+            late = _copy(record, final.t + IN_FORCE_S + 0.5)
+            return _replace(facts, record, late)
+        older = _copy(record, record.t + 1, version=record["version"] - 1)
+        return [*facts.history.records, older]
+
+
+MUTATIONS: tuple[Mutation, ...] = (
+    BrokenFlow(),
+    ForeignPacket(),
+    OverloadedColdServer(),
+    PacketToZoneOut(),
+    CutAnswer(),
+    FalseRefusal(),
+    SecondRun(),
+    OpenOnLeavingServer(),
+    UnannouncedStop(),
+    LateConfig(),
+)
--- /dev/null
+++ b/src/magnoliaslip/proof/rule.py
@@ -0,0 +1,61 @@
+"""Rules of the history checker and what they find."""
+
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import ClassVar
+
+from magnoliaslip.proof.facts import Facts
+from magnoliaslip.proof.history import Record
+
+
+@dataclass(slots=True, frozen=True)
+class Violation:
+    """One place where a history breaks a rule.
+
+    Attributes:
+        rule: Name of the rule, ``R1`` to ``R10``.
+        t: When, in seconds.
+        message: What is wrong.
+        flow: Flow key as hex; empty when no flow is concerned.
+        trace: Records of the flow up to that time, as text.
+    """
+
+    rule: str
+    t: float
+    message: str
+    flow: str = ""
+    trace: tuple[str, ...] = ()
+
+    def __str__(self) -> str:
+        lines = [f"{self.rule} at {self.t:.3f}: {self.message}"]
+        if self.flow:
+            lines.append(f"  flow {self.flow}")
+        return "\n".join(lines + [f"    {line}" for line in self.trace])
+
+
+class Rule(ABC):
+    """One of the ten rules of section 1.1 of the design page.
+
+    Attributes:
+        name: ``R1`` to ``R10``.
+        title: The rule in a few words.
+    """
+
+    name: ClassVar[str]
+    title: ClassVar[str]
+
+    @abstractmethod
+    def judge(self, facts: Facts) -> Iterator[Violation]:
+        """Yield every place where the history breaks the rule."""
+
+    def violation(self, facts: Facts, record: Record, message: str) -> Violation:
+        """Build a violation at a record, with the trace of its flow."""
+        flow = record.get("flow", "")
+        return Violation(
+            rule=self.name,
+            t=record.t,
+            message=message,
+            flow=flow,
+            trace=facts.history.trace(flow, record.t) if flow else (),
+        )
--- /dev/null
+++ b/tests/proof/test_checker.py
@@ -0,0 +1,113 @@
+"""Guards against a checker whose rules cannot fail, or fail without a cause."""
+
+import pytest
+
+from magnoliaslip.proof.checker import RULES, Checker
+from magnoliaslip.proof.history import History, Record
+from magnoliaslip.proof.mutations import MUTATIONS
+from magnoliaslip.proof.sample import sample_history
+
+SEEDS = range(6)
+
+
+def changed(*added, without=lambda record: False):
+    kept = [record for record in sample_history(1).records if not without(record)]
+    return Checker().check(History([*kept, *added]))
+
+
+def test_good_histories_keep_every_rule():
+    for seed in SEEDS:
+        assert Checker().check(sample_history(seed)).failed == ()
+
+
+def test_every_rule_has_a_mutation():
+    assert {m.rule for m in MUTATIONS} == {rule.name for rule in RULES}
+
+
+@pytest.mark.parametrize("mutation", MUTATIONS, ids=lambda m: m.rule)
+def test_mutation_makes_exactly_its_rule_fail(mutation):
+    for seed in SEEDS:
+        history = sample_history(seed)
+        verdict = Checker().check(mutation.apply(history, seed))
+        assert verdict.failed == (mutation.rule,)
+        assert Checker().check(history).passed
+
+
+def test_violation_shows_the_trace_of_the_flow():
+    broken = next(m for m in MUTATIONS if m.rule == "R1")
+    verdict = Checker().check(broken.apply(sample_history(1), 1))
+    (violation,) = verdict.violations["R1"]
+    text = str(violation)
+    assert "ended by reset" in text
+    assert "forward" in text and "phase=reset" in text
+
+
+def test_instance_without_a_path_to_the_news_gets_time_once_it_has_one():
+    """R4 and R10 must excuse a cut, but only while it lasts."""
+
+    def fault(t, phase, cut_off):
+        fields = {"fault": "cut-instance", "target": "i1", "phase": phase}
+        return Record(t, "world", "fault", {**fields, "cut_off": cut_off})
+
+    def own_config(record):
+        return (record.kind, record.who, record.get("version")) == ("config", "i1", 2)
+
+    late = Record(17.5, "i1", "config", {"version": 2, "zones_out": ["b"]})
+    cut = fault(9, "begin", ["i1"]), fault(11, "end", [])
+    assert changed(late, without=own_config).failed == ("R10",)
+    assert changed(late, *cut, without=own_config).passed
+    later = Record(18.5, "i1", "config", {"version": 2, "zones_out": ["b"]})
+    assert changed(later, *cut, without=own_config).failed == ("R10",)
+
+
+def test_pause_excuses_late_configuration_but_no_packet_to_a_zone_out():
+    def pause(t, phase):
+        fields = {"fault": "pause", "target": "i1", "phase": phase}
+        return Record(t, "world", "fault", fields)
+
+    packet = {"flow": "00", "service": "kit-desk", "server": "kd-2", "zone": "b"}
+    packet |= {"segment": "payload", "config": 1, "reason": "default"}
+    late = Record(16.1, "i1", "forward", packet)
+    assert changed(late, pause(9, "begin"), pause(16, "end")).failed == ("R4",)
+
+
+def test_cold_server_that_fails_under_load_breaks_rule_3_unless_injected():
+    fields = {"server": "sl-1", "service": "spawn-lab", "state": "cold", "bears": 2}
+    fell = Record(7.0, "sl-1", "server_state", fields)
+    assert changed(fell).failed == ("R3",)
+    fault = {"fault": "cold-start", "target": "sl-1", "phase": "begin"}
+    assert changed(Record(7.0, "world", "fault", fault), fell).passed
+
+
+def test_flows_of_a_zone_out_and_of_a_restarted_server_are_excused():
+    def call(t, phase):
+        fields = {"flow": "aa", "request": "r", "service": "kit-desk"}
+        fields |= {"complete": False, "answered_by": "", "phase": phase}
+        return Record(t, "caller", "call", fields)
+
+    def flow_to(server, zone):
+        packet = {"flow": "aa", "service": "kit-desk", "server": server, "zone": zone}
+        packet |= {"segment": "open", "config": 1, "reason": "default"}
+        opened = Record(9.0, "i1", "forward", packet)
+        return call(8.9, "open"), opened, call(9.1, "established"), call(10.5, "reset")
+
+    assert changed(*flow_to("kd-1", "a")).failed == ("R1",)
+    assert changed(*flow_to("kd-2", "b")).passed
+
+
+def test_request_cut_by_a_server_that_stopped_breaks_rule_9():
+    def call(t, phase):
+        fields = {"flow": "aa", "request": "r", "service": "kit-desk"}
+        fields |= {"complete": False, "answered_by": "", "phase": phase}
+        return Record(t, "caller", "call", fields)
+
+    work = {"server": "kd-3", "service": "kit-desk", "flow": "aa", "request": "r"}
+    work |= {"idempotent": True, "phase": "start"}
+    phases = (call(20, "open"), call(20.1, "established"), call(29, "sent"))
+    start = Record(29.1, "kd-3", "request", work)
+    assert changed(*phases, start, call(30.5, "reset")).failed == ("R9",)
+
+
+def test_history_survives_its_json_lines():
+    history = sample_history(3)
+    assert History.read(history.lines()).digest() == history.digest()
