--- /dev/null
+++ b/src/magnoliaslip/proof/sim_hosts.py
@@ -0,0 +1,183 @@
+"""Runs the callers, backend servers and instances of a simulated deployment."""
+
+from asyncio import TimerHandle
+from collections import Counter
+from collections.abc import Callable
+from contextvars import copy_context
+from random import Random
+from typing import Protocol
+
+from anyio import CancelScope
+from anyio.abc import TaskGroup
+
+from magnoliaslip.config.settings import InstanceSettings
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.instance.node import InstanceNode
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.proof.history import HistoryRecorder
+from magnoliaslip.proof.network import Network
+from magnoliaslip.proof.sim_links import Directory, SimPacketLink, SimPeerLink
+from magnoliaslip.proof.sim_platform import SimPlatform, SimPlatformClient
+from magnoliaslip.proof.virtual_loop import ProcessClock, SimProcess, VirtualEventLoop
+
+
+class Model(Protocol):
+    """A caller or backend server of the lab: packets in, deadlines out."""
+
+    @property
+    def next_deadline(self) -> float | None:
+        """When `poll` has work, in seconds."""
+
+    def on_packet(self, packet: bytes) -> None:
+        """Handle an inner packet."""
+
+    def poll(self, now: float) -> None:
+        """Do what is due."""
+
+
+class ModelHost:
+    """Hands packets to a model and polls it exactly at its deadlines.
+
+    Args:
+        loop: The virtual loop.
+        model: A caller or a backend server.
+    """
+
+    __slots__ = ("_context", "_due", "_loop", "_timer", "model")
+
+    def __init__(self, loop: VirtualEventLoop, model: Model) -> None:
+        self.model = model
+        self._loop = loop
+        self._timer: TimerHandle | None = None
+        self._due = 0.0
+        self._context = copy_context()
+        self.arm()
+
+    def receive(self, packet: bytes) -> None:
+        """Handle a packet of the network."""
+        self.model.on_packet(packet)
+        self.arm()
+
+    def arm(self) -> None:
+        """Set the timer; to be called after any other use of the model."""
+        deadline = self.model.next_deadline
+        if deadline is None or (self._timer is not None and self._due <= deadline):
+            return  # an early wake-up does no harm
+        if self._timer is not None:
+            self._timer.cancel()
+        self._due = max(deadline, self._loop.time())
+        self._timer = self._loop.call_at(self._due, self._wake, context=self._context)
+
+    def _wake(self) -> None:
+        self._timer = None
+        self.model.poll(max(self._due, self._loop.time()))
+        self.arm()
+
+
+class SimInstance:
+    """One instance: a simulated process around an `InstanceNode`.
+
+    Args:
+        cfg: Settings of the instance.
+        incarnation: Number that rises with every start.
+        network: The simulated network.
+        directory: Where datagrams and control messages go.
+        platform: The platform's values.
+        recorder: Receives the records of this process.
+        seed: Seed of its random source.
+        policy: Placement policy.
+        control_bytes: Counts control bytes by instance.
+    """
+
+    def __init__(
+        self,
+        cfg: InstanceSettings,
+        *,
+        incarnation: int,
+        network: Network,
+        directory: Directory,
+        platform: SimPlatform,
+        recorder: HistoryRecorder,
+        seed: int,
+        policy: str,
+        control_bytes: Counter[str],
+    ) -> None:
+        self.id = cfg.id
+        self.incarnation = incarnation
+        self.process = SimProcess(cfg.id)
+        self.clock = ProcessClock(network.loop)
+        self.sent: Counter[str] = Counter()
+        self.metrics = Metrics()
+        self.recorder = recorder
+        self.ended = False
+        self._scope: CancelScope | None = None
+        self.client = SimPlatformClient(cfg.id, network, platform)
+        self._packets = SimPacketLink(cfg.id, network, directory, self.sent)
+        self._egress = cfg.egress
+        network.add(cfg.id, cfg.zone, self.process)
+        self.node: InstanceNode = self.process.context.run(
+            InstanceNode,
+            cfg,
+            incarnation=incarnation,
+            clock=self.clock,
+            packets=self._packets,
+            peers=SimPeerLink(cfg.id, network, directory.messages, control_bytes),
+            platform=self.client,
+            send=self._send,
+            recorder=recorder,
+            rng=Random(seed),
+            metrics=self.metrics,
+            membership=Membership(
+                cfg.id,
+                cfg.zone,
+                incarnation,
+                clock=self.clock,
+                seeds=cfg.peers,
+                allowed_networks=cfg.allowed_networks,
+            ),
+            policy=policy,
+        )
+        directory.datagrams[cfg.id] = self._receive
+        directory.messages[cfg.id] = self._receive_message
+
+    def start(self, tasks: TaskGroup, on_end: Callable[["SimInstance"], None]) -> None:
+        """Run the node in the context of its process.
+
+        Args:
+            tasks: Task group of the world.
+            on_end: Called when the node has stopped by itself.
+        """
+        self.process.context.run(tasks.start_soon, self._run, on_end)
+
+    def kill(self) -> None:
+        """End the process at once; nothing it still does has an effect."""
+        self.process.ended = True
+        self.recorder.muted = True
+        self.process.resume()
+        if self._scope is not None:
+            self._scope.cancel()
+
+    def _send(self, packet: bytes, address: Address) -> None:
+        if address == self._egress:
+            self._packets.send_to_caller(packet)
+        else:
+            self._packets.send_to_server(address, packet)
+
+    def _receive(self, payload: bytes) -> None:
+        if not self.process.ended:
+            self.node.handle_datagram(payload)
+
+    def _receive_message(self, data: bytes) -> None:
+        if not self.process.ended:
+            self.node.on_peer_message(PeerMessage.FromString(data))
+
+    async def _run(self, on_end: Callable[["SimInstance"], None]) -> None:
+        with CancelScope() as self._scope:
+            if not self.process.ended:
+                await self.node.run()
+        self.ended = True
+        if not self.process.ended:
+            self.process.ended = True
+            on_end(self)
