--- a/src/magnoliaslip/proof/world.py
+++ b/src/magnoliaslip/proof/world.py
@@ -38,6 +38,8 @@
 PLATFORM_ADDRESS = Address("192.0.2.2", 8500)
 LIST_LAG_S = 1.0  # the platform's list of instances lags
 CALLER_HOST = "203.0.113.7"
+# A second address of the first service, which no route names at the start.
+NEW_ROUTE = Address("198.51.100.30", 443)
 
 # Small bodies: the rules look at flows and requests, and segments cost CPU time.
 WORLD_LOAD = LoadConfig(
@@ -108,9 +110,10 @@
         self.callers: list[ModelHost] = []
         self._caller_of: dict[bytes, ModelHost] = {}
         self._incarnations: Counter[str] = Counter()
+        self._added_routes: list[dict[str, object]] = []
         self._tasks = tasks
         self._recorder = self.recorder("world")
-        self._platform_recorder = self.recorder(PLATFORM)
+        self._recorder_of_platform = self.recorder(PLATFORM)
         self._entries = {
             name: InstanceEntry(
                 name,
@@ -164,19 +167,27 @@
     def publish(self, *keys: str) -> None:
         """Publish the tables as they are now."""
         values = self.tables.change(*keys)
+        if "routes/0" in values:
+            values["routes/0"]["routes"] += self._added_routes
         self.platform.publish({key: encode(value) for key, value in values.items()})
-        draining = [
+        kept = {
             server.name
             for servers in self.tables.servers.values()
             for server in servers
-            if server.drain
-        ]
-        self._platform_recorder.record(
+            if not server.drain
+        }
+        self._recorder_of_platform.record(
             "publish",
             version=self.tables.version,
             values={key: value["version"] for key, value in values.items()},
             zones_out=sorted(self.tables.zones_out),
-            draining=draining,
+            draining=sorted(self.servers.keys() - kept),
+        )
+
+    def add_route(self, address: Address, service: str) -> None:
+        """Add a service address, without publication."""
+        self._added_routes.append(
+            {"address": address.host, "port": address.port, "service": service}
         )
 
     def start_server(
@@ -187,7 +198,7 @@
         model = BackendServerModel(
             spec,
             service.name,
-            addresses=[service.address],
+            addresses=[service.address, NEW_ROUTE],
             clock=self.clock,
             rng=self.rng(f"server/{name}"),
             send=lambda packet: self.fabric.from_server(name, packet),
