End a retried feed before its deadline

A feed that was retried after a reset was held for its full time again, while its deadline still counted from the first attempt, so that it timed out on an intact flow. The hold now ends where that of the first attempt would have ended.

--- a/src/magnoliaslip/lab/caller.py
+++ b/src/magnoliaslip/lab/caller.py
@@ -220,7 +220,10 @@
         )
         self._record(session, "sent")
         if plan.kind is Kind.FEED:
-            hold = 0.0 if self._stopping else plan.hold_s
+            # A retried feed ends when the first attempt would have, as its deadline
+            # counts from that end.
+            left = call.deadline - self._cfg.timeout_s - now
+            hold = 0.0 if self._stopping else max(0.0, min(plan.hold_s, left))
             self._deadlines.set(Timer("hold", session), now + hold)
         self._write(session, call.request)
 
--- a/tests/lab/test_load_models.py
+++ b/tests/lab/test_load_models.py
@@ -169,3 +169,15 @@
     world.server._addresses = frozenset()
     world.run(2)
     assert world.server.counters["foreign"] > 0
+
+
+def test_retried_feed_ends_before_its_deadline():
+    """Guards against a retried feed that outlives its deadline on an intact flow."""
+    cfg = LoadConfig(sessions_per_s=0, timeout_s=2.0)
+    world = World(cfg=cfg)
+    world.caller.open_session("kit-desk", [FEED])
+    world.net.run(4)
+    world.server.restart(cold=False)
+    counters = world.run(20)
+    assert counters["retried"] == 1
+    assert (counters["answered"], counters["failed"]) == (1, 0)
