--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -1,28 +1,58 @@
 """The router decides which backend server gets each packet."""
 
+from collections import Counter
 from collections.abc import Sequence
 from random import Random
 
-from magnoliaslip.config.snapshot import BackendServer, HistoryEntry, Snapshot
+from xxhash import xxh3_64_intdigest
+
+from magnoliaslip.config.snapshot import HistoryEntry
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.errors import PacketError
 from magnoliaslip.core.group import GroupView
 from magnoliaslip.core.links import Direction, PacketLink, PeerLink
 from magnoliaslip.core.recorder import Recorder
-from magnoliaslip.packet.flow_key import RST, SYN, FlowKey, reverse_key, split_key
-from magnoliaslip.packet.segment import Segment
+from magnoliaslip.packet.flow_key import RST, SYN, FlowKey
 from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
-from magnoliaslip.placement.bucket_table import BUCKET_MASK, BucketTable
-from magnoliaslip.placement.explanation import Explanation
-from magnoliaslip.placement.hashing import flow_hash
+from magnoliaslip.placement.base_window import BaseWindow
+from magnoliaslip.placement.bucket_table import BUCKET_MASK, NO_SERVER
+from magnoliaslip.placement.configuration import Configuration
+from magnoliaslip.placement.epochs import NOT_DIRECT
+from magnoliaslip.placement.exceptions import ExceptionKeeper
+from magnoliaslip.placement.explanation import Explanation, explain
+from magnoliaslip.placement.flow_packet import FlowPacket
+from magnoliaslip.placement.forwarder import Forwarder
+from magnoliaslip.placement.handover import Handover
+from magnoliaslip.placement.load import WorkObserver
+from magnoliaslip.placement.owner import Owner
+from magnoliaslip.placement.peer_exchange import PeerExchange
+from magnoliaslip.placement.records import FlowFlag
+from magnoliaslip.placement.service import CODE_SHIFT, Service
 from magnoliaslip.placement.settings import PlacementConfig
-
-POLICIES = ("exceptions", "owner", "replicated", "stateless")
+from magnoliaslip.placement.slices import owning_members
+from magnoliaslip.placement.state import POLICIES, PlacementState
+from magnoliaslip.placement.suspect_queue import SuspectQueue
 
 
 class FlowRouter:
-    """Chooses backend servers and forwards packets; synchronous."""
+    """Chooses backend servers and forwards packets; synchronous.
+
+    Args:
+        instance_id: Identifier of this instance.
+        clock: Source of monotonic time.
+        packets: Sends packets on.
+        peers: Sends control messages.
+        recorder: Receives the history records of section 9.1 of the design page.
+        rng: Random source for jitter and samples.
+        policy: ``exceptions``, ``owner``, ``replicated`` or ``stateless``.
+        cfg: Bounds and terms; the defaults when None.
+        counters: Counts drops and other events by name; an own one when None.
+        observer: Sees requests in progress; None when nothing does.
+
+    Raises:
+        ValueError: The policy is unknown.
+    """
 
     def __init__(
         self,
@@ -35,141 +65,403 @@
         rng: Random,
         policy: str = "exceptions",
         cfg: PlacementConfig | None = None,
+        counters: Counter[str] | None = None,
+        observer: WorkObserver | None = None,
     ) -> None:
         if policy not in POLICIES:
             raise ValueError(f"policy {policy!r} is not one of {', '.join(POLICIES)}")
         self.instance_id = instance_id
         self.policy = policy
-        self.epoch = 0
-        self.direct_deadline = float("inf")
-        self.suspect = False
-        self.synchronized = True
-        self._clock = clock
-        self._packets = packets
-        self._peers = peers
-        self._recorder = recorder
-        self._rng = rng
-        self._cfg = cfg or PlacementConfig()
-        self._snapshot = Snapshot(version=0)
-        self._tables: dict[str, BucketTable] = {}
-        self._view = GroupView(version=0)
+        self._state = state = PlacementState(
+            instance_id,
+            clock=clock,
+            packets=packets,
+            peers=peers,
+            recorder=recorder,
+            rng=rng,
+            policy=policy,
+            cfg=cfg or PlacementConfig(),
+            counters=Counter() if counters is None else counters,
+            observer=observer,
+        )
+        self._forwarder = Forwarder(state)
+        self._keeper = ExceptionKeeper(state)
+        self._handover = Handover(state, self._keeper)
+        self._window = BaseWindow(state, self._keeper)
+        self._exchange = PeerExchange(state, self._keeper, self._handover, self._window)
+        self._configuration = Configuration(state, self._keeper, self._window)
+        self._owner = Owner(state, self._forwarder, self._keeper)
+        self._deadline = 0.0
+        self._queue = SuspectQueue()
+
+    @property
+    def epoch(self) -> int:
+        """Rises whenever an earlier answer of `direct` may be invalid."""
+        return self._state.epoch
+
+    @property
+    def direct_deadline(self) -> float:
+        """Monotonic time until which answers of `direct` of this epoch hold.
+
+        It moves forward with each heartbeat without a change of `epoch`, so a cache
+        reads it for each batch of packets. 0 when no answer may be kept.
+        """
+        return self._deadline
+
+    @property
+    def suspect(self) -> bool:
+        """Whether the view is suspect, so that packets are held here."""
+        return self._state.suspect
+
+    @property
+    def exceptions_ready(self) -> bool:
+        """Whether a joining instance has its exceptions, or waited 3 s for them."""
+        return self._handover.exceptions_ready(self._state.now())
+
+    @property
+    def may_stop(self) -> bool:
+        """Whether a leaving instance is no longer needed, or its deadline passed."""
+        return self._handover.may_stop(self._state.now())
+
+    @property
+    def flows_held(self) -> int:
+        """Flow records held, exceptions and copies included."""
+        return self._state.records.count
+
+    @property
+    def exceptions_held(self) -> int:
+        """Exceptions held as owner or replica."""
+        return self._keeper.count
 
     def handle_packet(
         self, packet: bytes, *, direction: Direction, hops: int = 0
     ) -> None:
-        """Forward a packet, relay it or drop it.
+        """Forward a packet, relay it, hold it or drop it.
 
         Args:
             packet: The inner IP packet.
             direction: Direction of the packet inside its flow.
             hops: Number of relays so far.
         """
+        state = self._state
+        if state.suspect and self._hold(packet, direction, hops):
+            return
         try:
-            segment = Segment.decode(packet)
+            parsed = FlowPacket(packet, direction, hops)
         except PacketError:
-            self._recorder.record("drop", flow="", reason="malformed")
+            self._forwarder.drop(None, "malformed")
             return
-        if direction is Direction.ANSWER:
-            flow = reverse_key(segment.key).hex()
-            self._packets.send_to_caller(packet)
-            self._recorder.record("answer", flow=flow, segment=_kind(segment))
-            return
-        flow = segment.key.hex()
-        service, server = self._choose(segment.key)
-        if server is None:
-            reason = "no_server" if service else "no_route"
-            self._recorder.record("drop", flow=flow, reason=reason)
-            return
-        self._packets.send_to_server(server.address, packet)
-        self._recorder.record(
-            "forward",
-            flow=flow,
-            service=service,
-            server=server.name,
-            zone=server.zone,
-            config=self._snapshot.version,
-            segment=_kind(segment),
-            reason="default",
-        )
+        service = state.routes.get(parsed.route_key)
+        if service is None:
+            self._forwarder.drop(parsed, "no_route")
+        elif self.policy == "stateless":
+            self._stateless(parsed, service)
+        else:
+            if state.leaving:
+                self._handover.last_packet = state.now()
+            if direction is Direction.ANSWER:
+                self._answer(parsed, service)
+            else:
+                self._request(parsed, service)
 
     def direct(self, key: FlowKey) -> Address | None:
-        """Return the server address for a mid-flow packet, or None."""
-        server = self._choose(key)[1]
-        return server.address if server else None
+        """Return where a mid-flow packet may be sent right now, without its owner.
+
+        The answer holds while `epoch` does not change and until the monotonic time
+        `direct_deadline`, whichever ends first. SYN, FIN and RST always go through
+        `handle_packet`, and so does every packet for which the answer is None.
+
+        Args:
+            key: Flow key in request direction.
+        """
+        state = self._state
+        service = state.routes.get(key[4:8] + key[10:12])
+        if service is None or state.suspect:
+            return None
+        key_hash = xxh3_64_intdigest(key)
+        bucket = key_hash & BUCKET_MASK
+        if self.policy == "stateless":
+            number = service.epochs.default(bucket)
+            return None if number == NO_SERVER else service.servers[number].address
+        if self.policy != "exceptions":
+            return None
+        if self._is_clean(key, service, bucket):
+            number = service.epochs.direct(bucket)
+            if number < NOT_DIRECT:
+                return service.servers[number].address
+        return self._recorded(key, key_hash, service, bucket)
 
     def apply_history(self, history: Sequence[HistoryEntry]) -> None:
-        """Put a history in force, oldest first."""
-        self._snapshot = history[-1].snapshot
-        self._tables = {
-            service: BucketTable(
-                service,
-                [
-                    server
-                    for server in pool.servers
-                    if not server.drain and server.zone not in self._snapshot.zones_out
-                ],
+        """Put a history in force.
+
+        Args:
+            history: Snapshots, oldest first; the last one is in force. It should
+                reach back ``history_window + direct_grace`` seconds and 60 s more,
+                so that an instance that joins knows the base of its peers.
+        """
+        state = self._state
+        now = state.now()
+        if not self._configuration.apply(history, now):
+            return
+        self._update_slices(now)
+        self._update_references()
+        state.epoch += 1
+        if state.recorder is not None:
+            state.recorder.record(
+                "config",
+                version=state.snapshot.version,
+                zones_out=sorted(state.snapshot.zones_out),
             )
-            for service, pool in self._snapshot.pools.items()
-        }
-        self.epoch += 1
 
     def apply_view(self, view: GroupView) -> None:
-        """Put a group view in force."""
-        self._view = view
-        self.epoch += 1
+        """Put a group view in force; this instance is one of its members."""
+        state = self._state
+        now = state.now()
+        state.view = view
+        self._update_slices(now)
+        self._exchange.view_changed(now)
+        self._handover.view_changed(view, now)
+        self._update_references()
+        state.epoch += 1
+        self._refresh_deadline(now)
 
     def on_peer_message(self, sender: str, msg: PeerMessage) -> None:
-        """Handle a control message of a peer."""
+        """Handle a control message of a peer.
+
+        Args:
+            sender: Identifier of the peer that wrote the message.
+            msg: The message, with the incarnation of the sender. A heartbeat may
+                come in this way or by `on_heartbeat`.
+        """
+        state = self._state
+        now = state.now()
+        if msg.WhichOneof("body") == "heartbeat":
+            self.on_heartbeat(sender, msg.heartbeat, incarnation=msg.incarnation)
+            return
+        if self._exchange.on_message(sender, msg, now):
+            state.epoch += 1
+        self._refresh_deadline(now)
+        self._owner.release(now)
 
     def fill_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
-        """Add log positions and loads to a heartbeat for a peer."""
+        """Add log positions, base version and loads to a heartbeat.
 
-    def on_heartbeat(self, peer: str, heartbeat: Heartbeat) -> None:
-        """Take over log positions and loads from a heartbeat."""
+        Args:
+            peer: The addressee.
+            heartbeat: Its ``number`` must be set; the same number must not be
+                used twice for one addressee.
+        """
+        self._exchange.fill_heartbeat(peer, heartbeat, self._state.now())
+
+    def on_heartbeat(
+        self, peer: str, heartbeat: Heartbeat, *, incarnation: int | None = None
+    ) -> None:
+        """Take over what a heartbeat of a peer states.
+
+        Args:
+            peer: The sender.
+            heartbeat: The heartbeat.
+            incarnation: Incarnation of the sender; that of the view when None.
+        """
+        state = self._state
+        now = state.now()
+        if incarnation is None:
+            member = state.view.members.get(peer)
+            incarnation = member.incarnation if member else 0
+        former = self._exchange.reported.get(peer)
+        self._exchange.on_heartbeat(peer, heartbeat, incarnation, now)
+        if self._exchange.reported.get(peer) != former:
+            self._update_references()
+        self._refresh_deadline(now)
+        self._owner.release(now)
 
     def on_tick(self) -> None:
         """Do periodic work; called every 100 ms."""
+        state = self._state
+        now = state.now()
+        if state.suspect and now >= self._queue.deadline:
+            self.confirm_view()
+        state.certificates.expire(now)
+        self._owner.tick(now)
+        if self._window.tick(now):
+            self._update_references()
+            state.epoch += 1
+        self._keeper.tick(now)
+        self._handover.tick(now)
+        self._exchange.tick(now)
+        self._refresh_deadline(now)
 
     def begin_leaving(self) -> None:
-        """Start handing owned flows to other instances."""
+        """Stop owning slices and hand exceptions and young flows over."""
+        state = self._state
+        if not state.leaving:
+            state.leaving = True
+            now = state.now()
+            self._update_slices(now)
+            self._handover.begin_leaving(now)
+            state.epoch += 1
 
     def explain(self, key: FlowKey) -> Explanation:
-        """Tell which server a flow gets and why."""
-        service, server = self._choose(key)
-        return Explanation(
-            service=service,
-            server=server.name if server else "",
-            zone=server.zone if server else "",
-            reason="default" if server else "",
-            owner=self.instance_id,
-            config_version=self._snapshot.version,
-            bucket=flow_hash(key) & BUCKET_MASK,
-        )
+        """Tell which server a mid-flow packet or a new flow gets, and why."""
+        return explain(self._state, self._keeper, key)
 
     def mark_view_suspect(self) -> None:
-        """Hold packets until the view is confirmed."""
-        self.suspect = True
-        self.epoch += 1
+        """Hold packets until `confirm_view`, 500 ms at most.
+
+        Called after a pause of the process or when neither peers nor platform were
+        heard. Every certificate is void.
+        """
+        state = self._state
+        now = state.now()
+        if not state.suspect:
+            state.suspect = True
+            self._queue.start(now)
+        state.certificates.void()
+        state.epoch += 1
+        self._refresh_deadline(now)
 
     def confirm_view(self) -> None:
-        """Trust the view again."""
-        self.suspect = False
-        self.epoch += 1
-
-    def _choose(self, key: FlowKey) -> tuple[str, BackendServer | None]:
-        route = self._snapshot.routes.get(split_key(key)[1])
-        if route is None:
-            return "", None
-        table = self._tables[route.service]
-        name = table.winner(flow_hash(key) & BUCKET_MASK)
-        pool = self._snapshot.pools[route.service]
-        server = next((each for each in pool.servers if each.name == name), None)
-        return route.service, server
-
-
-def _kind(segment: Segment) -> str:
-    if segment.flags & RST:
-        return "reset"
-    if segment.flags & SYN:
-        return "open"
-    return "payload" if segment.payload else "other"
+        """Trust the view again and handle the packets that were held."""
+        state = self._state
+        if not state.suspect:
+            return
+        state.suspect = False
+        state.epoch += 1
+        self._refresh_deadline(state.now())
+        self._owner.release(state.now())
+        for packet, direction, hops in self._queue.take():
+            self.handle_packet(packet, direction=direction, hops=hops)
+
+    def _hold(self, packet: bytes, direction: Direction, hops: int) -> bool:
+        if self._state.now() >= self._queue.deadline:
+            self.confirm_view()
+            return False
+        if not self._queue.add(packet, direction, hops):
+            self._forwarder.drop(None, "suspect_queue_full")
+        return True
+
+    def _stateless(self, packet: FlowPacket, service: Service) -> None:
+        if packet.direction is Direction.ANSWER:
+            self._forwarder.to_caller(packet)
+            return
+        number = service.epochs.default(packet.bucket)
+        if number == NO_SERVER:
+            self._forwarder.drop(packet, "no_backend_server")
+        else:
+            self._forwarder.to_server(packet, service, number, "default")
+
+    def _answer(self, packet: FlowPacket, service: Service) -> None:
+        if not packet.goes_through_owner:
+            self._forwarder.to_caller(packet)
+            return
+        if self._acts_as_owner(packet, service):
+            self._owner.answer(packet, service)
+        else:
+            self._to_owner(packet, service)
+
+    def _request(self, packet: FlowPacket, service: Service) -> None:
+        state = self._state
+        if self._acts_as_owner(packet, service):
+            self._owner.request(packet, service)
+            return
+        if not packet.goes_through_owner:
+            bucket = packet.bucket
+            if self.policy == "exceptions" and self._is_clean(
+                packet.key, service, bucket
+            ):
+                number = service.epochs.direct(bucket)
+                if number < NOT_DIRECT:
+                    self._forwarder.to_server(packet, service, number, "default")
+                    return
+            record = state.records.get(packet.key, packet.hash)
+            if (
+                record is not None
+                and record.flags & FlowFlag.EXCEPTION
+                and self.policy != "owner"
+            ):
+                holder = state.services[record.service]
+                self._forwarder.to_server(packet, holder, record.server, "exception")
+                return
+        self._to_owner(packet, service)
+
+    def _acts_as_owner(self, packet: FlowPacket, service: Service) -> bool:
+        """Return whether this instance decides about the packet.
+
+        Besides the owner, that is the instance that placed a pending open, and a
+        leaving one to which a packet comes back because others do not know yet.
+        """
+        state = self._state
+        if state.owns(service, packet.bucket):
+            return True
+        if state.leaving and packet.hops >= 2:
+            return True
+        return bool(packet.flags & (SYN | RST)) and (
+            state.opens.get(packet.key) is not None
+        )
+
+    def _to_owner(self, packet: FlowPacket, service: Service) -> None:
+        owner = service.slices.owner(packet.bucket)
+        if owner is None:
+            self._forwarder.drop(packet, "not_a_member")
+        else:
+            self._forwarder.relay(packet, owner)
+
+    def _is_clean(self, key: FlowKey, service: Service, bucket: int) -> bool:
+        """Return whether every member certifies that no exception is in a bucket."""
+        state = self._state
+        code = service.index << CODE_SHIFT | bucket
+        return (
+            state.now() < self._deadline
+            and not state.certificates.is_dirty(code)
+            and not self._keeper.is_dirty(code)
+            and (not state.moved or key[4:8] + key[10:12] not in state.moved)
+        )
+
+    def _recorded(
+        self, key: FlowKey, key_hash: int, service: Service, bucket: int
+    ) -> Address | None:
+        state = self._state
+        record = state.records.get(key, key_hash)
+        if record is None or not record.flags & FlowFlag.ESTABLISHED:
+            return None
+        if record.flags & FlowFlag.ENDED:
+            return None
+        if not record.flags & FlowFlag.EXCEPTION and not state.owns(service, bucket):
+            return None
+        server = state.services[record.service].servers[record.server]
+        return None if server.zone in state.snapshot.zones_out else server.address
+
+    def _update_slices(self, now: float) -> None:
+        state = self._state
+        members = [
+            member
+            for member in owning_members(state.view, state.snapshot.zones_out)
+            if not (state.leaving and member.id == self.instance_id)
+        ]
+        for service in state.services:
+            former = service.apply_members(members, now)
+            if former is not None:
+                self._handover.slices_changed(service, former, now)
+
+    def _update_references(self) -> None:
+        state = self._state
+        versions = set(self._exchange.reported.values())
+        for service in state.services:
+            if service.epochs.epochs and service.epochs.set_references(versions):
+                self._window.review(service)
+                state.epoch += 1
+
+    def _refresh_deadline(self, now: float) -> None:
+        """Take over until when certificates hold; a shorter time ends the epoch."""
+        state = self._state
+        if state.suspect or self.policy in ("owner", "replicated"):
+            deadline = 0.0
+        elif self.policy == "stateless":
+            deadline = float("inf")
+        else:
+            deadline = state.certificates.deadline()
+        if deadline <= now:
+            deadline = 0.0
+        if deadline < self._deadline:
+            state.epoch += 1
+        self._deadline = deadline
