--- a/src/magnoliaslip/config/errors.py
+++ b/src/magnoliaslip/config/errors.py
@@ -4,13 +4,13 @@
 
 
 class SettingsFileError(SettingsError):
-    """The settings file cannot be read."""
+    """The file cannot be read."""
 
     code = "MS101"
 
 
 class SettingsSyntaxError(SettingsError):
-    """The settings file is no JSON with comments."""
+    """The file is no JSON with comments."""
 
     code = "MS102"
 
@@ -100,7 +100,7 @@
 
 
 class DuplicateServerError(ConfigError):
-    """Two backend servers of a pool have the same name."""
+    """Two backend servers of a pool, or two instances, have the same name."""
 
     code = "MS211"
 
@@ -112,7 +112,7 @@
 
 
 class UnknownZoneError(ConfigError):
-    """A backend server is in an availability zone that ``zones`` does not list."""
+    """A backend server is in an availability zone that `zones` does not list."""
 
     code = "MS213"
 
--- a/src/magnoliaslip/config/tables.py
+++ b/src/magnoliaslip/config/tables.py
@@ -122,6 +122,7 @@
         routes: Routes of a ``routes/<k>`` value.
         pools: Pools of a ``pools/<k>`` value.
         zones: Whether each availability zone is in, of the ``zones`` value.
+        server_zones: Availability zones that the backend servers are in.
     """
 
     key: str
@@ -130,6 +131,7 @@
     routes: tuple[Route, ...] = ()
     pools: tuple[Pool, ...] = ()
     zones: tuple[tuple[str, bool], ...] = ()
+    server_zones: frozenset[str] = frozenset()
 
     @classmethod
     def parse(cls, key: str, data: bytes) -> Self:
@@ -170,7 +172,10 @@
             _pool(line, value.version, f"{key}: pools[{n}]")
             for n, line in enumerate(value.pools)
         )
-        return cls(key, value.version, data, pools=pools)
+        server_zones = frozenset(
+            server.zone for pool in pools for server in pool.servers
+        )
+        return cls(key, value.version, data, pools=pools, server_zones=server_zones)
 
     def equals(self, other: "Table") -> bool:
         """Return whether both state the same, whatever their layout."""
@@ -260,8 +265,11 @@
                     place=f"{place}.service",
                     remedy="merge the pools of the service into one",
                 )
-            _check_zones(pool, zones, place)
             pools[pool.service] = pool
+        for table in self.tables.values():
+            # Looking at every backend server is left to tables with a fault.
+            if not table.server_zones <= zones.keys():
+                _check_zones(table, zones)
         return Snapshot(
             version=self.version,
             routes=self._checked_routes(pools),
@@ -383,11 +391,12 @@
     return Pool(line.service, version, tuple(servers))
 
 
-def _check_zones(pool: Pool, zones: Mapping[str, bool], place: str) -> None:
-    for n, server in enumerate(pool.servers):
-        if server.zone not in zones:
-            raise UnknownZoneError(
-                f"availability zone {server.zone!r} is not listed in zones",
-                place=f"{place}.servers[{n}].zone",
-                remedy="add the availability zone to zones or correct its name",
-            )
+def _check_zones(table: Table, zones: Mapping[str, bool]) -> None:
+    for n, pool in enumerate(table.pools):
+        for m, server in enumerate(pool.servers):
+            if server.zone not in zones:
+                raise UnknownZoneError(
+                    f"availability zone {server.zone!r} is not listed in zones",
+                    place=f"{table.key}: pools[{n}].servers[{m}].zone",
+                    remedy="add the availability zone to zones or correct its name",
+                )
--- a/tests/config/test_http_platform.py
+++ b/tests/config/test_http_platform.py
@@ -1,9 +1,12 @@
 """Guards against a platform client that hangs or misreads an answer."""
 
+from contextlib import suppress
 from functools import partial
 
 import anyio
 import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
 
 from magnoliaslip.config.http_platform import MAX_BODY_BYTES, HttpPlatform
 from magnoliaslip.core.address import Address
@@ -121,3 +124,17 @@
     """Guards against memory that grows with the answer."""
     client, _ = platform({1: Answering(answer(200, bytes(2 * MAX_BODY_BYTES)))})
     assert len(anyio.run(client.read, "zones").data) == MAX_BODY_BYTES
+
+
+@settings(derandomize=True, max_examples=150, deadline=None)
+@given(
+    head=st.sampled_from(
+        [b"", b"HTTP/1.1 200 OK\r\n", answer(200, b"{}"), answer(304)]
+    ),
+    cut=st.integers(0, 60),
+    tail=st.binary(max_size=60),
+)
+def test_any_answer_is_read_or_refused_with_a_platform_error(head, cut, tail):
+    client, _ = platform({1: Answering(head[:cut] + tail + head[cut:])})
+    with suppress(PlatformError):
+        anyio.run(client.read, "zones")
