Report every other content of the version in force as a conflict

An offer whose index has the version in force, but names other versions of tables, raised MS214 instead of being reported as a conflict; the platform feed offers an index alone in that case. The store now reports event 203 and returns None. A shard that is ahead of the index in force stays silent, because that is the middle of a publication.

--- a/src/magnoliaslip/config/errors.py
+++ b/src/magnoliaslip/config/errors.py
@@ -100,7 +100,7 @@
 
 
 class DuplicateServerError(ConfigError):
-    """Two backend servers of a pool, or two instances, have the same name."""
+    """Two backend servers of a pool have the same name."""
 
     code = "MS211"
 
--- a/src/magnoliaslip/config/store.py
+++ b/src/magnoliaslip/config/store.py
@@ -249,17 +249,24 @@
             values.get(key, data) == data for key, data in current.tables.values.items()
         ):
             return
+        index = parse_index(values[INDEX_KEY])
         try:
             snapshot = TableSet.parse(values, known=current.tables).build_snapshot()
-        except StaleConfigError:
-            return  # the platform has newer shards whose index is still to come
+        except ConfigError as exc:
+            # With the index in force, newer shards wait for their index.
+            if (
+                isinstance(exc, StaleConfigError)
+                and index.values == current.snapshot.values
+            ):
+                return
+            snapshot = None
         if snapshot != current.snapshot:
-            exc = ConflictingVersionError(
-                f"version {snapshot.version} is in force with other content",
+            conflict = ConflictingVersionError(
+                f"version {index.version} is known with other content",
                 place=f"{INDEX_KEY}: version",
                 remedy="publish the change with a risen version",
             )
-            self._report(Event.CONFIG_CONFLICT, exc)
+            self._report(Event.CONFIG_CONFLICT, conflict)
 
     def _put_in_force(self, entry: _Entry) -> None:
         self._entries.append(entry)
--- a/src/magnoliaslip/ops/published.py
+++ b/src/magnoliaslip/ops/published.py
@@ -3,9 +3,9 @@
 from pathlib import Path
 
 from magnoliaslip.config.errors import MissingValueError
-from magnoliaslip.config.instances import INSTANCES_KEY, InstanceList, parse_instances
 from magnoliaslip.config.platform import Platform
 from magnoliaslip.config.tables import INDEX_KEY, TableSet, parse_index
+from magnoliaslip.peering.instance_list import INSTANCES_KEY, InstanceList
 
 FILE_SUFFIX = ".json"
 
@@ -42,7 +42,7 @@
         PlatformError: The platform does not answer.
         ConfigError: The list is missing or invalid.
     """
-    return parse_instances(await _read_key(platform, INSTANCES_KEY))
+    return InstanceList.parse(await _read_key(platform, INSTANCES_KEY))
 
 
 def _checked(values: dict[str, bytes]) -> TableSet:
--- a/src/magnoliaslip/ops/status.py
+++ b/src/magnoliaslip/ops/status.py
@@ -69,7 +69,7 @@
     if bool(instances) == bool(platform):
         raise UsageError("state control addresses, or --platform")
     if platform:
-        listed = run(read_instances, HttpPlatform(platform)).instances
+        listed = run(read_instances, HttpPlatform(platform)).entries
         instances = tuple(entry.control for entry in listed)
     answers = run(ask_instances, instances, timeout)
     echo(format(encode(answers)) if as_json else format_answers(answers))
--- a/tests/config/test_store.py
+++ b/tests/config/test_store.py
@@ -43,6 +43,28 @@
     assert not store.snapshot.pools["kit-desk"].servers[0].drain
 
 
+@pytest.mark.parametrize(
+    "values",
+    [
+        {"index": publish(5, versions={"zones": 6})["index"]},
+        publish(5) | {"zones": b"?"},
+        publish(5, versions={"zones": 6}),
+    ],
+)
+def test_any_other_content_of_the_version_in_force_is_a_conflict(store, caplog, values):
+    """Guards against an equal version that raises, as a newer set would."""
+    store.offer(publish(5))
+    assert store.offer(values) is None
+    assert "MS203" in caplog.text
+
+
+def test_shard_ahead_of_the_index_in_force_is_no_conflict(store, caplog):
+    """Guards against an error event in the middle of a publication."""
+    store.offer(publish(5))
+    assert store.offer(publish(5) | {"zones": publish(6)["zones"]}) is None
+    assert "MS203" not in caplog.text
+
+
 def test_equal_version_with_other_layout_is_no_event(store, caplog):
     store.offer(publish(5))
     spaced = publish(5)["pools/0"].replace(b":", b": ")
