Run the complete router in instances and operators' tools

Cause: the router's joining and leaving states and its bucket tables by number were not used yet by the node and the tools. Change: the node waits for exceptions_ready and may_stop; the data path reads the moving deadline of certificates; tools use default servers by name.

--- a/src/magnoliaslip/dataplane/path.py
+++ b/src/magnoliaslip/dataplane/path.py
@@ -56,7 +56,6 @@
 
     __slots__ = (
         "_cache",
-        "_cache_deadline",
         "_cache_epoch",
         "_cache_off",
         "_clock",
@@ -68,7 +67,6 @@
         "_send",
         "_services",
         "_tick_at",
-        "last_packet_at",
     )
 
     def __init__(
@@ -90,9 +88,7 @@
         self._cache_off = not isinstance(self._recorder, NullRecorder)
         self._cache: dict[FlowKey, Address] = {}
         self._cache_epoch = -1
-        self._cache_deadline = 0.0
         self._tick_at = clock.monotonic()
-        self.last_packet_at = clock.monotonic()
         self._services: frozenset[bytes] = frozenset()
         self._drop_log_at: dict[str, float] = {}
 
@@ -109,7 +105,6 @@
             self._router.mark_view_suspect()
             self._tick_at = now
             log_event(logger, Event.CLOCK_JUMPED)
-        self.last_packet_at = now
         self._refresh_cache()
         cached = self._cache.get
         send = self._send
@@ -135,6 +130,11 @@
         )
         self._cache.clear()
 
+    def stop_caching(self) -> None:
+        """Let the router see every packet, so that it knows when traffic ends."""
+        self._cache.clear()
+        self._cache_off = True
+
     def note_tick(self) -> None:
         """Note that the process runs; called every 100 ms.
 
@@ -207,14 +207,17 @@
             self._cache[key] = address
 
     def _refresh_cache(self) -> None:
+        """Empty the cache when the router's earlier answers may not hold.
+
+        The deadline moves forward with each heartbeat, so it is read each time.
+        """
         router = self._router
         if (
             router.epoch != self._cache_epoch
-            or self._clock.monotonic() >= self._cache_deadline
+            or self._clock.monotonic() >= router.direct_deadline
         ):
             self._cache.clear()
             self._cache_epoch = router.epoch
-            self._cache_deadline = router.direct_deadline
 
     @staticmethod
     def _drop_kind(payload: bytes) -> str:
--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -27,8 +27,6 @@
 from magnoliaslip.placement.router import FlowRouter
 from magnoliaslip.placement.settings import PlacementConfig
 
-JOIN_WAIT_S = 3.0  # bound on the wait for the exceptions of the peers
-QUIET_S = 2.0  # a leaving instance ends after this time without a packet
 POLL_S = 0.1
 
 logger = getLogger(__name__)
@@ -95,8 +93,11 @@
             rng=rng or Random(),
             policy=policy,
             cfg=PlacementConfig(
-                history_window=cfg.history_window_s, slow_start=cfg.slow_start_s
+                history_window=cfg.history_window_s,
+                slow_start=cfg.slow_start_s,
+                leave_deadline=cfg.shutdown_deadline_s,
             ),
+            counters=self.metrics.counters,
         )
         self.path = DataPath(
             self.router,
@@ -155,20 +156,15 @@
         self._announce(MemberState.JOINING)
         while self.store.snapshot is None and not self._stop.is_set():
             await sleep(POLL_S)
-        deadline = self._clock.monotonic() + JOIN_WAIT_S
-        while self._clock.monotonic() < deadline and not self._stop.is_set():
-            if self.router.synchronized:
-                break
+        while not self.router.exceptions_ready and not self._stop.is_set():
             await sleep(POLL_S)
         self._announce(MemberState.SERVING)
 
     async def _leave(self) -> None:
-        deadline = self._clock.monotonic() + self.cfg.shutdown_deadline_s
         self._announce(MemberState.LEAVING)
         self.router.begin_leaving()
-        while self._clock.monotonic() < deadline:
-            if self._clock.monotonic() - self.path.last_packet_at >= QUIET_S:
-                break
+        self.path.stop_caching()
+        while not self.router.may_stop:
             await sleep(POLL_S)
         self._recorder.record("state", state="stopped")
         log_event(logger, Event.INSTANCE_STOPPED, id=self.cfg.id)
--- a/src/magnoliaslip/ops/diff.py
+++ b/src/magnoliaslip/ops/diff.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from magnoliaslip.config.snapshot import BackendServer, Pool, Snapshot
-from magnoliaslip.placement.bucket_table import BUCKETS, BucketTable
+from magnoliaslip.placement.bucket_table import BUCKETS
+from magnoliaslip.placement.default_servers import DefaultServers
 
 # Hashes computed for the comparison of one service; a larger pool is compared on
 # evenly spaced buckets, which bounds a comparison to some seconds.
@@ -91,16 +92,23 @@
     least = least_share(old_names, new_names)
     if old_names == new_names:
         return FlowMove(service, 0.0, least, BUCKETS)
-    before, after = BucketTable(service, old), BucketTable(service, new)
+    before, after = DefaultServers(service, old), DefaultServers(service, new)
     hashes = BUCKETS * (len(old) + len(new))
     step = 1
     while hashes // step > MAX_HASHES and step < BUCKETS:
         step *= 2
     buckets = range(0, BUCKETS, step)
-    moved = sum(before.winner(bucket) != after.winner(bucket) for bucket in buckets)
+    moved = sum(
+        _name(before.winner(bucket)) != _name(after.winner(bucket))
+        for bucket in buckets
+    )
     return FlowMove(service, moved / len(buckets), least, len(buckets))
 
 
+def _name(server: BackendServer | None) -> str:
+    return server.name if server else ""
+
+
 def _changes(old: Snapshot, new: Snapshot) -> Iterator[str]:
     for zone in sorted(new.zones_out - old.zones_out):
         yield f"zone {zone}: out of service; its established flows are given up"
--- a/src/magnoliaslip/ops/explaining.py
+++ b/src/magnoliaslip/ops/explaining.py
@@ -4,7 +4,8 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.ops.diff import eligible_servers
 from magnoliaslip.packet.flow_key import make_key
-from magnoliaslip.placement.bucket_table import BUCKET_MASK, BucketTable
+from magnoliaslip.placement.bucket_table import BUCKET_MASK
+from magnoliaslip.placement.default_servers import DefaultServers
 from magnoliaslip.placement.explanation import Explanation
 from magnoliaslip.placement.hashing import flow_hash
 
@@ -41,8 +42,8 @@
         elif server.drain:
             steps.append(f"{server.name} takes no new flow: it drains")
     eligible = eligible_servers(snapshot, route.service)
-    name = BucketTable(route.service, eligible).winner(bucket)
-    if name is None:
+    server = DefaultServers(route.service, eligible).winner(bucket)
+    if server is None:
         steps.append("no backend server is left; the open is refused or dropped")
         return Explanation(
             service=route.service,
@@ -51,7 +52,7 @@
             reason="no_server",
             steps=tuple(steps),
         )
-    zone = next(server.zone for server in eligible if server.name == name)
+    name, zone = server.name, server.zone
     steps.append(
         f"{name} wins the bucket among {len(eligible)} backend servers; load and "
         "history, which only a running instance knows, are not considered"
