--- /dev/null
+++ b/src/magnoliaslip/peering/node.py
@@ -0,0 +1,275 @@
+"""The part of an instance that talks to its peers."""
+
+from logging import getLogger
+from random import Random
+from typing import TYPE_CHECKING
+
+import anyio
+
+from magnoliaslip.config.platform import Platform
+from magnoliaslip.config.snapshot import HistoryEntry
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.group import GroupView, MemberState
+from magnoliaslip.core.links import PeerLink
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.core.recorder import Recorder
+from magnoliaslip.peering.dissemination import Dissemination
+from magnoliaslip.peering.forwarding import ForwardingLink
+from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
+from magnoliaslip.peering.view_confirmation import ViewConfirmation
+
+if TYPE_CHECKING:
+    from magnoliaslip.placement.router import FlowRouter
+
+HEARTBEAT_S = 0.5
+PUSH_GAP_S = 0.02  # changes this close together share one extra heartbeat
+TICK_S = 0.1
+REJECTION_LOG_S = 10.0
+_STATES = frozenset(MemberState)
+
+logger = getLogger(__name__)
+
+
+class PeerNode:
+    """Exchanges heartbeats with the group, keeps the view and the configuration.
+
+    The owner of the node changes the state of the instance with `set_state`.
+
+    Args:
+        instance_id: Identifier of this instance.
+        zone: Its availability zone.
+        incarnation: Number that rises with every start of the process.
+        clock: Source of monotonic time.
+        link: Sends to peers. A `ForwardingLink` is used as it is, any other link is
+            wrapped in one. The router must send through the same `ForwardingLink`.
+        platform: The configuration service.
+        store: The configuration in force and its history.
+        router: Gets views, histories, heartbeats, messages and ticks.
+        recorder: Not used here: the store records versions, the owner of the node
+            records states.
+        rng: Source of jitter and choice.
+        metrics: Counters of the process.
+        membership: With seeds and allowed networks of the settings; a plain one by
+            default. Pass it when the router or the network link needs it too.
+        fleet_size: Expected number of instances, for the pace of platform reads.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_confirmation",
+        "_dissemination",
+        "_heartbeat_number",
+        "_metrics",
+        "_push",
+        "_rejection_logged_at",
+        "_router",
+        "_store",
+        "_view",
+        "link",
+        "membership",
+    )
+
+    def __init__(
+        self,
+        instance_id: str,
+        zone: str,
+        incarnation: int,
+        *,
+        clock: Clock,
+        link: PeerLink,
+        platform: Platform,
+        store: SnapshotStore,
+        router: "FlowRouter",
+        recorder: Recorder,
+        rng: Random,
+        metrics: Metrics,
+        membership: Membership | None = None,
+        fleet_size: int = 1,
+    ) -> None:
+        self.membership = membership or Membership(
+            instance_id, zone, incarnation, clock=clock
+        )
+        if not isinstance(link, ForwardingLink):
+            link = ForwardingLink(link, self.membership)
+        self.link = link
+        self._clock = clock
+        self._store = store
+        self._router = router
+        self._metrics = metrics
+        self._dissemination = Dissemination(
+            self.membership,
+            clock=clock,
+            link=self.link,
+            platform=platform,
+            store=store,
+            rng=rng,
+            metrics=metrics,
+            fleet_size=fleet_size,
+            on_instances=self._on_instances,
+        )
+        self._confirmation = ViewConfirmation(
+            self.membership,
+            clock=clock,
+            router=router,
+            dissemination=self._dissemination,
+        )
+        self._heartbeat_number = 0
+        self._push = anyio.Event()
+        self._push.set()  # the first heartbeat goes out at once
+        self._rejection_logged_at = float("-inf")
+        self._view = GroupView(0)
+        store.subscribe(self._on_history)
+
+    @property
+    def view(self) -> GroupView:
+        """The group view that the router has."""
+        return self._view
+
+    @property
+    def state(self) -> MemberState:
+        """The state that this instance announces."""
+        return self.membership.state
+
+    async def run(self) -> None:
+        """Run until cancelled."""
+        if self._store.snapshot is not None:
+            self._on_history(self._store.history)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._send_heartbeats)
+            tasks.start_soon(self._tick)
+            tasks.start_soon(self._confirmation.run)
+            tasks.start_soon(self._dissemination.run)
+
+    def check_pause(self) -> None:
+        """Mark the view suspect if the process stood still; for the data path."""
+        self._confirmation.check_pause()
+
+    def set_state(self, state: MemberState) -> None:
+        """Change the state of this instance and announce it at once."""
+        self.membership.set_state(state)
+        self.refresh_view()
+
+    async def _send_heartbeats(self) -> None:
+        while True:
+            with anyio.move_on_after(HEARTBEAT_S):
+                await self._push.wait()
+            self._push = anyio.Event()
+            self._heartbeat_all()
+            await anyio.sleep(PUSH_GAP_S)
+
+    def _heartbeat_all(self) -> None:
+        self._heartbeat_number += 1
+        heard = self.membership.heard_directly()
+        snapshot = self._store.snapshot
+        for peer in self.membership.targets():
+            heartbeat = Heartbeat(
+                number=self._heartbeat_number,
+                state=int(self.membership.state),
+                config_version=snapshot.version if snapshot else 0,
+                instances_version=self.membership.list_version,
+                heard=heard,
+            )
+            record = self.membership.record(peer)
+            if record is not None:
+                heartbeat.echo_number = record.number
+                heartbeat.echo_incarnation = record.incarnation
+                heartbeat.log_applied_incarnation = record.incarnation
+            self._router.fill_heartbeat(peer, heartbeat)
+            self.link.send(peer, PeerMessage(heartbeat=heartbeat))
+
+    async def _tick(self) -> None:
+        while True:
+            self._confirmation.check_pause()
+            self._confirmation.check_silence()
+            self.refresh_view()
+            self._router.on_tick()
+            await anyio.sleep(TICK_S)
+
+    def _on_history(self, history: tuple[HistoryEntry, ...]) -> None:
+        self._router.apply_history(history)
+        self._push.set()
+
+    def _on_instances(self) -> None:
+        self.refresh_view()
+        self._push.set()
+
+    def refresh_view(self) -> None:
+        """Apply the group view to the router if it changed."""
+        view = self.membership.view()
+        if view is self._view:
+            return
+        own = self.membership.instance_id
+        if self._view.members.get(own) != view.members[own]:
+            self._push.set()
+        self._view = view
+        self._router.apply_view(view)
+
+    def on_message(self, msg: PeerMessage) -> None:
+        """Handle a message from the link, or pass it on to its addressee.
+
+        A message is passed on once at most: the receiver sends it directly.
+        """
+        if not self.membership.accepts_sender(msg.sender):
+            self._reject(msg, "sender is no member")
+        elif msg.forward_to and msg.forward_to != self.membership.instance_id:
+            if self.membership.entry(msg.forward_to) is None:
+                self._reject(msg, "addressee is no member")
+            else:
+                self._metrics.counters["peer_messages_passed_on"] += 1
+                self.link.pass_on(msg)
+        elif not self.membership.accepts_message(msg.sender, msg.incarnation):
+            self._metrics.counters["peer_messages_of_former_incarnations"] += 1
+        else:
+            self._handle(msg)
+
+    def _handle(self, msg: PeerMessage) -> None:
+        match msg.WhichOneof("body"):
+            case "heartbeat":
+                self._on_heartbeat(msg)
+            case "config_request":
+                # The configuration here may be old itself.
+                if not self._confirmation.suspect:
+                    self._dissemination.on_request(msg.sender, msg.config_request)
+            case "config_piece":
+                self._dissemination.peers.on_piece(msg.sender, msg.config_piece)
+            case None:
+                self._reject(msg, "body is missing or unknown")
+            case _:
+                self._router.on_peer_message(msg.sender, msg)
+
+    def _on_heartbeat(self, msg: PeerMessage) -> None:
+        heartbeat = msg.heartbeat
+        if heartbeat.state not in _STATES:
+            self._reject(msg, "state is unknown")
+            return
+        if not self.membership.on_heartbeat(
+            msg.sender,
+            msg.incarnation,
+            number=heartbeat.number,
+            state=MemberState(heartbeat.state),
+            heard=heartbeat.heard,
+            config_version=heartbeat.config_version,
+            instances_version=heartbeat.instances_version,
+            direct=not msg.forward_to,
+        ):
+            return
+        # Numbers that a former incarnation of this instance sent mean nothing here.
+        if heartbeat.echo_incarnation != self.membership.incarnation:
+            heartbeat.echo_number = 0
+        if heartbeat.log_applied_incarnation != self.membership.incarnation:
+            heartbeat.log_applied = 0
+        self.refresh_view()
+        self._router.on_heartbeat(msg.sender, heartbeat)
+        self._dissemination.peers.on_digest(msg.sender)
+
+    def _reject(self, msg: PeerMessage, reason: str) -> None:
+        self._metrics.counters["peer_messages_rejected"] += 1
+        now = self._clock.monotonic()
+        if now - self._rejection_logged_at > REJECTION_LOG_S:
+            self._rejection_logged_at = now
+            log_event(
+                logger, Event.PEER_REJECTED, peer=repr(msg.sender), reason=repr(reason)
+            )
