Test the parts of placement

Cause: only the router as a whole had tests. Change: tests of defaults, epochs, slices, load, evidence, records, logs and certificates, each with the failure that it guards against.

--- /dev/null
+++ b/tests/placement/test_epochs.py
@@ -0,0 +1,93 @@
+from magnoliaslip.placement.epochs import MAX_EPOCHS, NOT_DIRECT, EpochHistory
+from magnoliaslip.placement.servers import ServerRegistry
+from tests.placement.fleet import make_pool
+
+BUCKETS = range(400)
+
+
+def make_history(*epochs, window=100.0, grace=10.0):
+    history = EpochHistory(ServerRegistry("rota"), window=window, grace=grace)
+    for version, (since, pool, out) in enumerate(epochs, start=1):
+        history.append(version, since, pool.servers, frozenset(out))
+    return history
+
+
+def zone(history, number):
+    return history._servers[number].zone
+
+
+def test_zone_out_and_back_leaves_the_base_without_exceptions():
+    # Guards against exceptions for every flow when a zone leaves, and against old
+    # flows of the zone that catch new ones when it returns.
+    pool = make_pool(7)
+    history = make_history((0, pool, ""), (10, pool, "b"))
+    for bucket in BUCKETS:
+        assert history.base(bucket) == history.default(bucket)
+        assert zone(history, history.base(bucket)) != "b"
+    history.append(3, 20, pool.servers, frozenset())
+    returned = 0
+    for bucket in BUCKETS:
+        assert zone(history, history.base(bucket)) != "b"
+        if history.base(bucket) != history.default(bucket):
+            assert zone(history, history.default(bucket)) == "b"
+            assert history.direct(bucket) == NOT_DIRECT
+            returned += 1
+    assert returned
+
+
+def test_base_advances_for_owners_first():
+    # Guards against direct forwarding to a new base before owners have recorded the
+    # flows of the old one as exceptions.
+    history = make_history((0, make_pool(7), ""), (50, make_pool(8), ""))
+    assert history.due_base(149) == 0
+    assert history.due_base(150) == 1
+    history.advance_owner(1)
+    assert not history.advance_direct(159.9)
+    changed = [b for b in BUCKETS if history.direct(b) == NOT_DIRECT]
+    assert changed
+    assert history.advance_direct(160)
+    assert all(history.direct(b) != NOT_DIRECT for b in changed)
+    assert len(history.epochs) == 1
+
+
+def test_member_with_another_base_makes_exceptions():
+    # Guards against a placement that a member with an older configuration, or with
+    # another base, would send elsewhere.
+    pool = make_pool(7)
+    history = make_history((0, pool, ""), (10, pool, "b"))
+    moved = next(
+        bucket
+        for bucket in BUCKETS
+        if history.epochs[0].table.winner(bucket) != history.base(bucket)
+    )
+    server = history.base(moved)
+    assert history.is_default(moved, server)
+    history.set_references({(1, 1)})
+    assert not history.is_default(moved, server)
+    history.set_references({(2, 1)})
+    assert history.is_default(moved, server)
+
+
+def test_unknown_base_of_a_member_ends_direct_forwarding():
+    # Guards against an instance with a short history that does not know the base
+    # which its peers use.
+    history = EpochHistory(ServerRegistry("rota"))
+    history.append(5, 0.0, make_pool(7).servers, frozenset())
+    assert history.direct(1) != NOT_DIRECT
+    assert history.set_references({(6, 3)})
+    assert history.direct(1) == NOT_DIRECT
+    assert not history.is_default(1, history.base(1))
+
+
+def test_many_changes_stay_bounded():
+    # Guards against memory that grows with every change of a pool.
+    history = make_history((0, make_pool(7), ""), window=1e6)
+    for number in range(200):
+        history.append(
+            number + 2, number, make_pool(7 + number % 2).servers, frozenset()
+        )
+        history.advance_owner(history.due_base(number))
+        history.advance_direct(number)
+    assert len(history.epochs) <= 2 * MAX_EPOCHS + 1
+    tables = sum(epoch.table._winners is not None for epoch in history.epochs)
+    assert tables <= 4
--- /dev/null
+++ b/tests/placement/test_evidence.py
@@ -0,0 +1,56 @@
+from random import Random
+
+from magnoliaslip.placement.evidence import Evidence
+
+
+def test_backoff_doubles_up_to_its_bound():
+    # Guards against a refusing server that is tried all the time, or never again.
+    evidence = Evidence(Random(1))
+    now, delays = 0.0, []
+    for _ in range(7):
+        delay = evidence.note_refused(3, now)
+        delays.append(delay)
+        assert evidence.blocks(3, now + delay - 0.01)
+        now += delay
+        assert not evidence.blocks(3, now)
+    assert all(0.8 <= delay / 2**n <= 1.2 for n, delay in enumerate(delays[:4]))
+    assert max(delays) <= 15.0
+
+
+def test_refusals_in_flight_count_once():
+    # Guards against a backoff of 15 s after one short refusal of many opens.
+    evidence = Evidence(Random(1))
+    first = evidence.note_refused(3, 0.0)
+    for _ in range(50):
+        assert evidence.note_refused(3, 0.1) < first
+
+
+def test_one_open_tests_a_suspected_server():
+    # Guards against a burst of opens at a server that may still refuse.
+    evidence = Evidence(Random(1))
+    now = evidence.note_refused(3, 0.0)
+    evidence.note_placed(3, now)
+    assert evidence.blocks(3, now + 0.1)
+    assert not evidence.blocks(3, now + 3.1)
+    assert evidence.note_accepted(3)
+    assert not evidence.blocks(3, now + 0.1)
+    assert not evidence.note_accepted(3)
+
+
+def test_evidence_is_ignored_when_most_of_a_pool_looks_bad():
+    # Guards against a fault on this side that concentrates load on few servers.
+    evidence = Evidence(Random(1))
+    for number in range(3):
+        evidence.note_refused(number, 0.0)
+    assert not evidence.is_ignored(6, 0.1)
+    assert evidence.is_ignored(5, 0.1)
+    assert not evidence.is_ignored(5, 20.0)
+
+
+def test_resets_of_unknown_connections_show_a_restart():
+    # Guards against a restarted server that gets full load while it is cold.
+    evidence = Evidence(Random(1))
+    assert not evidence.note_unknown_reset(1, 0.0)
+    assert not evidence.note_unknown_reset(1, 5.0)
+    assert not evidence.note_unknown_reset(1, 6.5)
+    assert evidence.note_unknown_reset(1, 6.9)
--- /dev/null
+++ b/tests/placement/test_records.py
@@ -0,0 +1,59 @@
+import tracemalloc
+from random import Random
+
+from magnoliaslip.placement.hashing import flow_hash
+from magnoliaslip.placement.records import FlowFlag, FlowRecord, FlowRecords
+
+
+def test_rows_agree_with_a_dict():
+    # Guards against a key that is found at the wrong offset of a packed row.
+    rng = Random(3)
+    records, model = FlowRecords(limit=10**6), {}
+    # Few byte values and few hashes, so that keys overlap entries and share rows.
+    keys = [bytes(rng.choices([0, 1], k=12)) for _ in range(300)]
+    for _ in range(20_000):
+        key = rng.choice(keys)
+        key_hash = key[0]
+        if rng.random() < 0.5:
+            record = FlowRecord(*(rng.choice([0, 1, 256]) for _ in range(2)), 1, 0, 1)
+            records.put(key, key_hash, record)
+            model[key] = record
+        elif rng.random() < 0.5:
+            assert records.remove(key, key_hash) == model.pop(key, None)
+        assert records.get(key, key_hash) == model.get(key)
+        assert records.count == len(model)
+    assert dict(records) == model
+
+
+def test_held_flow_takes_at_most_100_bytes():
+    # Guards against memory above the target of 100 bytes a flow at 300,000 flows,
+    # also after churn.
+    rng = Random(4)
+    tracemalloc.start()
+    before = tracemalloc.get_traced_memory()[0]
+    records = FlowRecords(limit=400_000)
+    live = []
+    for number in range(360_000):
+        key = number.to_bytes(12, "big")
+        records.put(key, flow_hash(key), FlowRecord(1, number & 0xFF, 2, number))
+        if rng.random() < 1 / 6:
+            live.append(key)
+    for key in live:
+        records.remove(key, flow_hash(key))
+    taken = tracemalloc.get_traced_memory()[0] - before - len(live) * 60
+    tracemalloc.stop()
+    assert 290_000 < records.count < 310_000
+    assert taken / records.count < 100
+
+
+def test_eviction_prefers_ended_flows_and_spares_exceptions():
+    # Guards against memory without bound, and against lost exceptions.
+    records = FlowRecords(limit=2)
+    for number, flags in enumerate((FlowFlag.EXCEPTION, 0, FlowFlag.ENDED, 0)):
+        key = bytes([number]) * 12
+        records.put(key, 7, FlowRecord(0, 0, flags, 10 - number))
+    order = []
+    while (flow := records.overflow()) is not None:
+        order.append(flow[0][0])
+        records.remove(flow[0], 7)
+    assert order == [2, 3]
--- /dev/null
+++ b/tests/placement/test_replication.py
@@ -0,0 +1,111 @@
+from random import Random
+
+import pytest
+
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.replication import (
+    MAX_BACKLOG,
+    MAX_BATCH,
+    MAX_IN_FLIGHT,
+    LogReceiver,
+    PeerLog,
+)
+
+
+class _Peer:
+    """Applies a log to a set, as the receiving router does."""
+
+    def __init__(self):
+        self.receiver = LogReceiver(1)
+        self.state = {}
+
+    def receive(self, entries):
+        skip = self.receiver.accept(entries)
+        if skip is None:
+            return
+        if entries.reset and skip == 0:
+            self.state.clear()
+        ops = [(op.bucket, op.dirty) for op in entries.buckets]
+        ops += [(op.key, op.server) for op in entries.exceptions]
+        for name, value in ops[skip:]:
+            self.state[name] = value
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_log_arrives_in_order_over_a_bad_link(seed):
+    # Guards against operations that are lost, repeated or reordered.
+    rng = Random(seed)
+    wire, peer, now = [], _Peer(), 0.0
+    log = PeerLog(
+        "i2",
+        1,
+        lambda to, msg: wire.append(PeerMessage.FromString(msg.SerializeToString())),
+    )
+    model = {}
+    for step in range(600):
+        now += 0.1
+        if step < 400:
+            for _ in range(rng.randrange(20)):
+                bucket = rng.randrange(50)
+                model[bucket] = rng.random() < 0.5
+                log.add_bucket("rota", bucket, model[bucket])
+                key = bytes([rng.randrange(50)]) * 12
+                model[key] = rng.choice(["", "s1", "s2"])
+                log.add_exception("rota", key, model[key])
+        log.tick(now)
+        rng.shuffle(wire)
+        for msg in wire:
+            for _ in range(rng.choice([0, 1, 1, 2]) if step < 500 else 1):
+                peer.receive(msg.log)
+        wire.clear()
+        if rng.random() < 0.7 and peer.receiver.applied is not None:
+            log.on_ack(peer.receiver.applied, now)
+    assert peer.state == model
+    assert log.backlog == 0
+
+
+def test_restart_makes_the_peer_forget():
+    # Guards against a restarted peer that keeps state of a former log.
+    wire, peer = [], _Peer()
+    log = PeerLog("i2", 1, lambda to, msg: wire.append(msg))
+    log.add_bucket("rota", 1, True)
+    log.flush(0.0)
+    peer.receive(wire[-1].log)
+    log.on_ack(peer.receiver.applied, 0.0)
+    log.restart(2)
+    log.add_bucket("rota", 2, True)
+    log.flush(1.0)
+    peer.receive(wire[0].log)
+    peer.receive(wire[-1].log)
+    peer.receive(wire[0].log)
+    assert peer.state == {2: True}
+    fresh = _Peer()
+    fresh.receive(wire[-1].log)
+    assert fresh.state == {2: True}
+
+
+def test_messages_and_backlog_are_bounded():
+    # Guards against messages of megabytes, and memory that grows for a dead peer.
+    wire = []
+    log = PeerLog("i2", 1, lambda to, msg: wire.append(msg))
+    for number in range(MAX_BACKLOG + 10):
+        log.add_exception("rota", number.to_bytes(12, "big"), "s1")
+    stated = log.last_sequence
+    log.flush(0.0)
+    assert len(wire) == MAX_IN_FLIGHT
+    assert all(len(msg.log.exceptions) <= MAX_BATCH for msg in wire)
+    assert all(msg.ByteSize() < 8000 for msg in wire)
+    assert log.overflowed and stated == MAX_BACKLOG + 10
+    log.restart(1)
+    assert log.last_sequence >= stated
+
+
+def test_waiting_operation_counts_as_stated():
+    # Guards against a certificate that is renewed before the news has been sent.
+    log = PeerLog("i2", 1, lambda to, msg: None)
+    op = log.add_bucket("rota", 1, True)
+    assert log.last_sequence == 1
+    assert not log.is_acked(op)
+    log.flush(0.0)
+    assert log.on_ack(1, 0.1)
+    assert log.is_acked(op)
--- /dev/null
+++ b/tests/placement/test_slices.py
@@ -0,0 +1,59 @@
+from magnoliaslip.core.group import GroupView, Member, MemberState
+from magnoliaslip.placement.slices import (
+    SliceMap,
+    choose_holders,
+    owning_members,
+    slice_count,
+)
+from tests.placement.fleet import make_pool
+
+MEMBERS = [Member(f"i{n}", "abcd"[n % 4]) for n in range(1, 8)]
+
+
+def test_slices_follow_the_stated_slots():
+    # Guards against several owners of a small pool, whose sum exceeds its slots.
+    assert slice_count(make_pool(7, slots=4).servers) == 1
+    assert slice_count(make_pool(9, slots=4).servers) == 2
+    assert slice_count(make_pool(3500, slots=4).servers) == 256
+    assert slice_count(make_pool(7, slots=0).servers) == 64
+
+
+def test_each_zone_has_a_holder_and_the_successor_is_one():
+    # Guards against exceptions that are missing on one side of a cut zone, or at
+    # the member that takes over.
+    for number in range(64):
+        holders = choose_holders("rota", number, MEMBERS)
+        rest = [member for member in MEMBERS if member.id != holders.owner]
+        successor = choose_holders("rota", number, rest).owner
+        assert successor == holders.replicas[0]
+        zones = {m.zone for m in MEMBERS if m.id in (holders.owner, *holders.replicas)}
+        assert zones == set("abcd")
+        assert len(holders.replicas) <= 4
+
+
+def test_joining_leaving_and_out_members_own_nothing():
+    # Guards against opens at a member that is not ready, or in a zone that is out.
+    members = {
+        "i1": Member("i1", "a", MemberState.JOINING),
+        "i2": Member("i2", "a", MemberState.LEAVING),
+        "i3": Member("i3", "b"),
+        "i4": Member("i4", "c"),
+    }
+    view = GroupView(1, members)
+    assert [m.id for m in owning_members(view, frozenset("b"))] == ["i4"]
+
+
+def test_ownership_counts_from_the_takeover():
+    # Guards against a refusal by an owner that does not know its slice yet.
+    slices = SliceMap("rota", "i1")
+    servers = make_pool(64).servers
+    assert slices.update(servers, MEMBERS, 0.0) is not None
+    assert slices.update(servers, MEMBERS, 1.0) is None
+    owned = set(slices.owned)
+    slices.update(servers, MEMBERS[:3], 10.0)
+    for number in slices.owned:
+        assert slices.settled(number, 3.5) == (number in owned)
+        assert slices.settled(number, 13.5)
+    assert set(slices.owned) > owned
+    slices.restart_settling(20.0)
+    assert not any(slices.settled(number, 22.0) for number in slices.owned)
