Add experiments: timed faults from a checked file, with a JSON report

Steps disturb paths, the platform, backend servers, health endpoints and instances, and publish zones and pools. Names and times are checked before anything starts; a wrong one is named with its place.

--- a/src/magnoliaslip/lab/__main__.py
+++ b/src/magnoliaslip/lab/__main__.py
@@ -16,7 +16,16 @@
     run,
     wait_readable,
 )
-from click import BadParameter, Choice, Context, Parameter, echo, group, option
+from click import (
+    BadParameter,
+    Choice,
+    Context,
+    Parameter,
+    argument,
+    echo,
+    group,
+    option,
+)
 from click import Path as PathType
 
 from magnoliaslip.core.address import Address
@@ -270,6 +279,49 @@
     exit_process(0 if report.is_complete else EXIT_FAILED)
 
 
+@main.command()
+@argument("file", type=PathType(dir_okay=False, path_type=Path))
+@option("--check", is_flag=True, help="Check the file and exit.")
+@option(
+    "--report",
+    type=PathType(dir_okay=False, path_type=Path),
+    help="File that receives the report; standard output otherwise.",
+)
+@_logs
+@_records
+def experiment(
+    file: Path,
+    *,
+    check: bool,
+    report: Path | None,
+    logs: Path | None,
+    records: Path | None,
+) -> None:
+    """Run the experiment FILE (JSON with comments) and report in JSON.
+
+    The exit code tells whether the experiment ran, not how the system did.
+    """
+    from msgspec.json import encode, format
+
+    from magnoliaslip.core.errors import SettingsError
+    from magnoliaslip.lab.experiment import Experiment, load_experiment
+
+    try:
+        content = load_experiment(file)
+    except SettingsError as exc:
+        echo(exc, err=True)
+        exit_process(EXIT_INVALID)
+    if check:
+        echo(f"{file}: experiment is valid")
+        return
+    lab = Experiment(content, record_dir=_directory(records), log_dir=_directory(logs))
+    text = format(encode(_run(lab.run)))
+    if report is None:
+        echo(text)
+    else:
+        report.write_bytes(text + b"\n")
+
+
 def _directory(path: Path | None) -> Path | None:
     if path is not None:
         path.mkdir(parents=True, exist_ok=True)
--- a/src/magnoliaslip/lab/deployment.py
+++ b/src/magnoliaslip/lab/deployment.py
@@ -1,7 +1,7 @@
 """The deployments that the lab sets up."""
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from magnoliaslip.config.snapshot import BackendServer
 from magnoliaslip.core.address import Address
@@ -104,6 +104,11 @@
         self, deployment: Deployment, servers: Mapping[str, Collection[BackendServer]]
     ) -> None:
         self.servers = {service: list(pool) for service, pool in servers.items()}
+        self._lines = {
+            server.name: (service, server)
+            for service, pool in self.servers.items()
+            for server in pool
+        }
         self.zones_out: set[str] = set()
         self.instances: list[InstanceEntry] = []
         self._deployment = deployment
@@ -130,6 +135,27 @@
         values["index"] = {"version": self._version, "values": dict(self._versions)}
         return values
 
+    def drain_server(self, name: str) -> None:
+        """Mark a line of a pool as draining."""
+        service, line = self._lines[name]
+        pool = self.servers[service]
+        self.servers[service] = [
+            replace(line, drain=True) if server.name == name else server
+            for server in pool
+        ]
+
+    def remove_server(self, name: str) -> None:
+        """Remove a line from its pool."""
+        service, _ = self._lines[name]
+        pool = self.servers[service]
+        self.servers[service] = [server for server in pool if server.name != name]
+
+    def restore_server(self, name: str) -> None:
+        """Put the original line back, at the end of its pool."""
+        self.remove_server(name)
+        service, line = self._lines[name]
+        self.servers[service].append(line)
+
     def instance_list(self) -> dict[str, object]:
         """Return the next value of ``instances``, which the platform writes itself."""
         self._instances_version += 1
--- /dev/null
+++ b/src/magnoliaslip/lab/experiment.py
@@ -0,0 +1,257 @@
+"""Experiments: a deployment under load with timed faults, from a file."""
+
+from collections import Counter
+from collections.abc import Mapping
+from pathlib import Path
+from time import monotonic
+from typing import Annotated, Literal
+
+from anyio import create_task_group, sleep, sleep_until
+from msgspec import Meta, Struct, structs
+
+from magnoliaslip.config.errors import SettingsValueError
+from magnoliaslip.config.jsonc import JsoncDocument
+from magnoliaslip.config.settings import convert_settings
+from magnoliaslip.core.clock import Clock, SystemClock
+from magnoliaslip.core.recorder import Recorder
+from magnoliaslip.lab.deployment import DEPLOYMENTS, Deployment
+from magnoliaslip.lab.fabric import CALLERS
+from magnoliaslip.lab.load import LoadConfig
+from magnoliaslip.lab.model_loop import open_recorder
+from magnoliaslip.lab.protocol import Kind
+from magnoliaslip.lab.report import SiteReport, collect_report
+from magnoliaslip.lab.site import Site, SiteOptions, open_site
+from magnoliaslip.lab.steps import AnyStep, Step
+
+FINISH_S = 20.0  # bound on the wait for the last answers after the load has ended
+SAMPLE_S = 1.0
+SAMPLED = (
+    "calls",
+    "answered",
+    "failed",
+    "flows_established",
+    "flows_broken",
+    "refused",
+)
+
+Positive = Annotated[float, Meta(gt=0, le=3600)]
+Weight = Annotated[float, Meta(ge=0)]
+
+
+class LoadLines(Struct, frozen=True, forbid_unknown_fields=True):
+    """The load of each caller, see `LoadConfig`; unstated keys keep its defaults."""
+
+    sessions_per_s: Positive | None = None
+    requests: tuple[int, int] | None = None
+    think_s: tuple[float, float] | None = None
+    feed_s: tuple[float, float] | None = None
+    interval_ms: Annotated[int, Meta(gt=0)] | None = None
+    timeout_s: Positive | None = None
+    attempts: Annotated[int, Meta(ge=1, le=10)] | None = None
+    retry_refused: bool | None = None
+    mix: dict[Kind, Weight] | None = None
+    weights: dict[str, Weight] | None = None
+
+    def config(self) -> LoadConfig:
+        """Return the load with defaults filled in."""
+        stated = structs.asdict(self).items()
+        return LoadConfig(**{key: value for key, value in stated if value is not None})
+
+
+class ExperimentFile(Struct, frozen=True, forbid_unknown_fields=True):
+    """The content of an experiment file.
+
+    Attributes:
+        deployment: What is set up.
+        duration_s: How long the load lasts.
+        callers: Number of callers.
+        seed: Seed of the stand-ins.
+        load: Load of each caller.
+        steps: Faults and changes.
+    """
+
+    deployment: Literal["karaganda", "sicily"]
+    duration_s: Positive
+    callers: Annotated[int, Meta(ge=1, le=20)] = 2
+    seed: int = 1
+    load: LoadLines = LoadLines()
+    steps: list[AnyStep] = []
+
+
+class StepTime(Struct, frozen=True):
+    """When a step happened, in seconds after the load started."""
+
+    step: AnyStep
+    began_s: float
+    ended_s: float | None
+
+
+class ExperimentReport(Struct, frozen=True):
+    """Results of an experiment.
+
+    Attributes:
+        site: Results over the whole run.
+        steps: What was done when.
+        timeline: Counters of all callers, about once a second; ``t_s`` counts from
+            the start of the load.
+    """
+
+    site: SiteReport
+    steps: list[StepTime]
+    timeline: list[dict[str, float]]
+
+
+def load_experiment(path: Path) -> ExperimentFile:
+    """Read and check an experiment file in JSON with comments.
+
+    Raises:
+        SettingsError: The file is unreadable, or something in it is invalid.
+    """
+    document = JsoncDocument.load(path)
+    content = convert_settings(document, ExperimentFile)
+    deployment = DEPLOYMENTS[content.deployment]
+    known = known_names(deployment)
+    for n, step in enumerate(content.steps):
+        _check_times(document, f"steps[{n}]", step, content.duration_s)
+        for key, kind, name in step.names():
+            if name not in known[kind]:
+                raise SettingsValueError(
+                    f"{deployment.name} has no {kind} {name!r}",
+                    place=document.place(f"steps[{n}].{key}"),
+                    remedy=f"use one of {', '.join(sorted(known[kind]))}",
+                )
+    return content
+
+
+def known_names(deployment: Deployment) -> dict[str, set[str]]:
+    """Return the names that steps may use, by kind.
+
+    >>> sorted(known_names(DEPLOYMENTS["sicily"])["place"])
+    ['a', 'b', 'c', 'callers']
+    """
+    zones = set(deployment.zones)
+    return {
+        "zone": zones,
+        "place": zones | {CALLERS},
+        "server": {
+            name
+            for service in deployment.services
+            for name, _ in deployment.servers(service)
+        },
+        "instance": {name for name, _ in deployment.instances()},
+    }
+
+
+def _check_times(
+    document: JsoncDocument, path: str, step: Step, duration_s: float
+) -> None:
+    if step.at_s >= duration_s:
+        raise SettingsValueError(
+            f"the step begins at {step.at_s:g} s, after the end of the load",
+            place=document.place(f"{path}.at_s"),
+            remedy=f"use a time below duration_s = {duration_s:g}",
+        )
+    if step.until_s is not None and not step.at_s < step.until_s <= duration_s:
+        raise SettingsValueError(
+            f"the step ends at {step.until_s:g} s",
+            place=document.place(f"{path}.until_s"),
+            remedy="use a time after at_s and not after duration_s",
+        )
+
+
+class Experiment:
+    """Runs an experiment file.
+
+    Args:
+        content: The checked file.
+        record_dir: Directory for history records, or None.
+        log_dir: Directory for the output of all processes, or None.
+        options: Replaces the options that follow from the other arguments.
+    """
+
+    def __init__(
+        self,
+        content: ExperimentFile,
+        *,
+        record_dir: Path | None = None,
+        log_dir: Path | None = None,
+        options: SiteOptions | None = None,
+    ) -> None:
+        self._content = content
+        self._record_dir = record_dir
+        self._options = options or SiteOptions(
+            callers=content.callers,
+            load=content.load.config(),
+            seed=content.seed,
+            record_dir=record_dir,
+            log_dir=log_dir,
+        )
+        self._clock: Clock = SystemClock()
+        self._start = 0.0
+        self._times: list[StepTime] = []
+        self._timeline: list[dict[str, float]] = []
+
+    async def run(self) -> ExperimentReport:
+        """Run the experiment.
+
+        Raises:
+            ChildError: A process failed outside the steps.
+        """
+        started = monotonic()
+        path = self._record_dir / "lab.jsonl" if self._record_dir else None
+        deployment = DEPLOYMENTS[self._content.deployment]
+        with open_recorder(path, who="lab", clock=self._clock) as recorder:
+            async with open_site(deployment, self._options) as site:
+                await self._run_steps(site, recorder)
+                await site.stop_load(timeout_s=FINISH_S)
+                await self._sample(site)
+                report = await collect_report(site, seconds=monotonic() - started)
+        self._times.sort(key=lambda time: time.began_s)
+        return ExperimentReport(report, self._times, self._timeline)
+
+    async def _run_steps(self, site: Site, recorder: Recorder) -> None:
+        await site.start_load()
+        start = self._start = self._clock.monotonic()
+        async with create_task_group() as tasks:
+            tasks.start_soon(self._sample_all, site)
+            async with create_task_group() as steps:
+                for step in self._content.steps:
+                    steps.start_soon(self._run_step, step, site, recorder, start)
+                steps.start_soon(sleep_until, start + self._content.duration_s)
+            tasks.cancel_scope.cancel()
+
+    async def _run_step(
+        self, step: AnyStep, site: Site, recorder: Recorder, start: float
+    ) -> None:
+        await sleep_until(start + step.at_s)
+        began = self._clock.monotonic() - start
+        _record(recorder, step, "begin")
+        await step.begin(site)
+        ended = None
+        if step.until_s is not None:
+            await sleep_until(start + step.until_s)
+            await step.end(site)
+            _record(recorder, step, "end")
+            ended = self._clock.monotonic() - start
+        self._times.append(StepTime(step, began, ended))
+
+    async def _sample_all(self, site: Site) -> None:
+        while True:
+            await self._sample(site)
+            await sleep(SAMPLE_S)
+
+    async def _sample(self, site: Site) -> None:
+        total: Counter[str] = Counter()
+        for caller in await site.caller_states():
+            total.update(caller["counters"])
+        sample: dict[str, float] = {name: total[name] for name in SAMPLED}
+        self._timeline.append({"t_s": self._clock.monotonic() - self._start} | sample)
+
+
+def _record(recorder: Recorder, step: AnyStep, phase: str) -> None:
+    fields: Mapping[str, object] = structs.asdict(step)
+    target = ",".join(name for _, _, name in step.names())
+    kind = type(step).__struct_config__.tag
+    detail = fields.get("fault") or fields.get("action") or fields.get("mode") or ""
+    name = f"{kind}:{detail}" if detail else str(kind)
+    recorder.record("fault", fault=name, target=target, phase=phase)
--- a/src/magnoliaslip/lab/platform_server.py
+++ b/src/magnoliaslip/lab/platform_server.py
@@ -3,7 +3,8 @@
 from collections.abc import Mapping
 from functools import partial
 
-from anyio import create_task_group
+from anyio import TASK_STATUS_IGNORED, create_task_group
+from anyio.abc import TaskStatus
 from msgspec.json import decode
 
 from magnoliaslip.core.address import Address
@@ -40,12 +41,13 @@
         self._store = store
         self._listeners = dict(listeners)
 
-    async def run(self) -> None:
+    async def run(self, *, task_status: TaskStatus[None] = TASK_STATUS_IGNORED) -> None:
         """Serve until cancelled."""
         async with create_task_group() as tasks:
             for group, address in self._listeners.items():
                 handler = partial(self._handle, group)
                 await tasks.start(serve_http, address, handler)
+            task_status.started()
             print("ready platform", flush=True)
 
     async def _handle(self, group: str, req: HttpRequest) -> HttpAnswer:
--- a/src/magnoliaslip/lab/site.py
+++ b/src/magnoliaslip/lab/site.py
@@ -1,6 +1,6 @@
 """A deployment as running processes on loopback."""
 
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
@@ -17,7 +17,7 @@
 from magnoliaslip.core.group import InstanceEntry
 from magnoliaslip.lab.children import Child, ChildError, Children, open_children
 from magnoliaslip.lab.deployment import CONNECTIONS, Deployment, Tables
-from magnoliaslip.lab.fabric import PathRule
+from magnoliaslip.lab.fabric import NOTICE_S, PathRule
 from magnoliaslip.lab.fabric_process import (
     CallerLine,
     FabricSettings,
@@ -92,6 +92,7 @@
             for name in ("callers", "returns", "egress", "admin")
         }
         self._callers = [self._ports.pick() for _ in range(options.callers)]
+        self._paused: set[str] = set()
         self._rules: dict[tuple[str, str], PathRule] = {}
         self.tables = Tables(
             deployment,
@@ -141,9 +142,13 @@
         body = {"mode": mode} | ({"group": zone} if zone else {})
         await self._put_platform("/lab/mode", body)
 
-    async def set_rules(self, rules: Mapping[tuple[str, str], PathRule]) -> None:
-        """Replace the disturbances of paths between places."""
-        lines = [RuleLine(src, dst, rule) for (src, dst), rule in rules.items()]
+    async def disturb(self, src: str, dst: str, rule: PathRule | None) -> None:
+        """Set the disturbance of the path between two places in one direction."""
+        if rule is None:
+            self._rules.pop((src, dst), None)
+        else:
+            self._rules[src, dst] = rule
+        lines = [RuleLine(*path, rule) for path, rule in self._rules.items()]
         await fetch_json(self._fabric["admin"], "PUT", "/lab/rules", lines)
 
     async def update_fabric(self) -> None:
@@ -151,7 +156,7 @@
         lines = [
             InstanceLine(entry.id, entry.zone, str(entry.data), entry.leaving)
             for entry in self.tables.instances
-            if entry.leaving or self.instances[entry.id].child.ready.is_set()
+            if self._takes_packets(entry)
         ]
         await fetch_json(self._fabric["admin"], "PUT", "/lab/instances", lines)
 
@@ -191,6 +196,19 @@
         await self._list_instance(instance_id, present=False)
         await self.update_fabric()
 
+    async def pause_instance(self, instance_id: str) -> None:
+        """Stop the process of an instance; the fabric notices after a second."""
+        self.instances[instance_id].child.pause()
+        self._paused.add(instance_id)
+        await sleep(NOTICE_S)
+        await self.update_fabric()
+
+    async def resume_instance(self, instance_id: str) -> None:
+        """Let the process of a paused instance go on."""
+        self._paused.discard(instance_id)
+        self.instances[instance_id].child.resume()
+        await self.update_fabric()
+
     async def start_load(self) -> None:
         """Let all callers open sessions."""
         for caller in self._callers:
@@ -235,6 +253,10 @@
     async def _put_platform(self, path: str, value: object) -> None:
         await fetch_json(self._platform[ADMIN_GROUP], "PUT", path, value)
 
+    def _takes_packets(self, entry: InstanceEntry) -> bool:
+        ready = self.instances[entry.id].child.ready.is_set()
+        return entry.leaving or (ready and entry.id not in self._paused)
+
     async def _update_fabric_late(self) -> None:
         await sleep(LIST_LAG_S)
         await self.update_fabric()
--- /dev/null
+++ b/tests/lab/test_experiment.py
@@ -0,0 +1,67 @@
+from pathlib import Path
+
+import pytest
+from anyio import run
+
+from magnoliaslip.core.errors import SettingsError
+from magnoliaslip.lab.experiment import Experiment, ExperimentFile, load_experiment
+from magnoliaslip.lab.load import LoadConfig
+from magnoliaslip.lab.site import SiteOptions
+from magnoliaslip.lab.steps import InstanceStep, PathStep
+from tests.lab.test_site import forwarder_command
+
+EXAMPLES = Path(__file__).parents[2] / "examples" / "experiments"
+
+
+@pytest.mark.parametrize("path", sorted(EXAMPLES.iterdir()), ids=lambda path: path.name)
+def test_examples_are_valid(path):
+    """Guards against examples that the checks refuse."""
+    assert load_experiment(path).steps
+
+
+@pytest.mark.parametrize(
+    ("step", "place"),
+    [
+        ('{"do": "zone_out", "zone": "d", "at_s": 1}', "steps[0].zone"),
+        ('{"do": "zone_out", "zone": "a", "at_s": 9}', "steps[0].at_s"),
+        ('{"do": "zone_out", "zone": "a", "at_s": 2, "until_s": 1}', "until_s"),
+        ('{"do": "zone_out", "zon": "a", "at_s": 1}', "steps[0].zon"),
+        ('{"do": "path", "src": "a", "dst": "b", "loss": 2, "at_s": 1}', "loss"),
+    ],
+)
+def test_invalid_step_is_named_with_a_remedy(tmp_path, step, place):
+    """Guards against an experiment that fails half-way for a mistake in its file."""
+    path = tmp_path / "experiment.jsonc"
+    path.write_text(
+        f'{{"deployment": "sicily", // comment\n"duration_s": 5, "steps": [{step}]}}'
+    )
+    with pytest.raises(SettingsError) as caught:
+        load_experiment(path)
+    assert place in caught.value.place
+    assert caught.value.remedy
+
+
+def test_steps_happen_at_their_times_and_end(tmp_path):
+    """Guards against a fault that never begins, or goes on after its end."""
+    content = ExperimentFile(
+        deployment="sicily",
+        duration_s=2.0,
+        steps=[
+            PathStep(at_s=0.2, until_s=1.0, src="a", dst="b", loss=0.1),
+            InstanceStep(at_s=0.5, until_s=1.5, instance="i2", action="kill"),
+        ],
+    )
+    options = SiteOptions(
+        callers=1,
+        load=LoadConfig(sessions_per_s=20, feed_s=(1, 2), requests=(1, 2)),
+        command=forwarder_command,
+        record_dir=tmp_path,
+    )
+    report = run(Experiment(content, options=options, record_dir=tmp_path).run)
+    times = [(time.began_s, time.ended_s) for time in report.steps]
+    for (began, ended), step in zip(times, content.steps, strict=True):
+        assert 0 <= began - step.at_s < 1
+        assert 0 <= ended - step.until_s < 2
+    assert report.site.restarts["i2"] == 1
+    assert report.timeline[-1]["answered"] == report.site.answered > 0
+    assert (tmp_path / "lab.jsonl").read_text().count('"fault"') == 4 * 2
