Keep exit codes of children that end before a signal reaches them

Popen.send_signal reaps an ended process, so the event loop logged 'Unknown child process' and reported exit code 255. Signals go through os.kill. The second SIGTERM follows 0.3 s after the first: sent at once, both were delivered as one, and the instances drained for another 2 s at the end of the demo.

Versions in force and relays now come from the status of the instances.

--- a/src/magnoliaslip/lab/children.py
+++ b/src/magnoliaslip/lab/children.py
@@ -3,7 +3,7 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager, suppress
-from os import environ, pathsep
+from os import environ, kill, pathsep
 from pathlib import Path
 from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
 from subprocess import PIPE
@@ -25,6 +25,7 @@
 from magnoliaslip.core.errors import MagnoliaslipError
 
 START_TIMEOUT_S = 15.0
+SECOND_SIGNAL_S = 0.3  # two signals sent at once would be delivered as one
 STOP_TIMEOUT_S = 3.0
 KEPT_LINES = 30
 RECEIVE_BYTES = 65_536
@@ -117,8 +118,10 @@
 
     def _signal(self, number: int) -> None:
         if self.exit_code is None:
+            # `Popen.send_signal` would reap an ended process, and its exit code would
+            # be lost to the event loop, which then reports 255.
             with suppress(ProcessLookupError):
-                self._process.send_signal(number)
+                kill(self._process.pid, number)
 
 
 class Children:
@@ -162,20 +165,18 @@
         return child
 
     async def end_all(self) -> None:
-        """End every child: SIGTERM, and SIGKILL after a bounded wait."""
+        """End every child: SIGTERM twice, and SIGKILL after a bounded wait."""
         running = [child for child in self._children if child.exit_code is None]
         for child in running:
             child.resume()
             child.terminate()
+        await _wait_all(running, SECOND_SIGNAL_S)
+        for child in running:
             child.terminate()  # an instance ends at once on the second signal
-        with move_on_after(STOP_TIMEOUT_S):
-            for child in running:
-                await child.ended.wait()
+        await _wait_all(running, STOP_TIMEOUT_S)
         for child in running:
             child.kill()
-        with move_on_after(STOP_TIMEOUT_S):
-            for child in running:
-                await child.ended.wait()
+        await _wait_all(running, STOP_TIMEOUT_S)
 
     async def _watch(
         self, child: Child, process: Process, on_line: LineHandler | None
@@ -211,6 +212,12 @@
                 await children.end_all()
 
 
+async def _wait_all(children: Sequence[Child], timeout_s: float) -> None:
+    with move_on_after(timeout_s):
+        for child in children:
+            await child.ended.wait()
+
+
 def _environment() -> dict[str, str]:
     """Return an environment in which children import this very package."""
     source = str(Path(magnoliaslip.__file__).parent.parent)
--- a/src/magnoliaslip/lab/instances.py
+++ b/src/magnoliaslip/lab/instances.py
@@ -43,9 +43,10 @@
         command: Makes the command line from the settings file.
 
     Attributes:
-        config_version: Version of the last snapshot that its log put in force.
+        config_version: Version in force by its status, or else by its log.
         starts: How often it was started.
-        counters: Counters of its status, summed over its past runs.
+        counters: Counters of its status, summed over its runs.
+        answered_status: Whether any run stated its counters.
     """
 
     def __init__(
@@ -60,6 +61,7 @@
         self.entry = entry
         self.config_version = 0
         self.starts = 0
+        self.answered_status = False
         self.exit_codes: list[int | None] = []
         self.counters: Counter[str] = Counter()
         self._children = children
@@ -112,7 +114,7 @@
         Raises:
             ChildError: It does not end after its shutdown deadline.
         """
-        await self.collect_counters()
+        await self.collect_status()
         self.child.terminate()
         await self.child.wait_ended(SHUTDOWN_DEADLINE_S + EXIT_MARGIN_S)
         self.exit_codes.append(self.child.exit_code)
@@ -123,9 +125,12 @@
             return {}
         return await fetch_status(self.entry.control)
 
-    async def collect_counters(self) -> None:
-        """Add the counters of the present run; called once at its end."""
-        self.counters.update(_find_counters(await self.status()))
+    async def collect_status(self) -> None:
+        """Note version and counters of the present run; called once at its end."""
+        status = await self.status()
+        self.answered_status |= bool(status)
+        self.config_version = status.get("config_version", self.config_version)
+        self.counters.update(status.get("metrics", {}).get("counters", {}))
 
     def _on_line(self, line: str) -> None:
         if match := _IN_FORCE.search(line):
@@ -143,8 +148,3 @@
         return {}
     finally:
         channel.close()
-
-
-def _find_counters(status: Mapping[str, Any]) -> dict[str, int]:
-    metrics = status.get("metrics", status)
-    return dict(metrics.get("counters", {}))
--- a/src/magnoliaslip/lab/report.py
+++ b/src/magnoliaslip/lab/report.py
@@ -102,6 +102,8 @@
     fabric = await site.fabric_counters()
     reads = await site.platform_reads()
     instances = site.instances
+    for instance in instances.values():
+        await instance.collect_status()
     return SiteReport(
         deployment=site.deployment.name,
         seconds=seconds,
@@ -121,7 +123,7 @@
         shed=counters["shed"],
         overloaded=sum(b["counters"].get("overloaded", 0) for b in backends),
         sprayed=fabric.get("sprayed", 0),
-        second_hops=await _second_hops(site),
+        second_hops=_second_hops(site),
         imbalance=_imbalance(site, callers),
         latency_us=[caller["latency"] for caller in callers],
         config_versions={i: proc.config_version for i, proc in instances.items()},
@@ -132,12 +134,12 @@
     )
 
 
-async def _second_hops(site: Site) -> int | None:
-    total: Counter[str] = Counter()
-    for instance in site.instances.values():
-        await instance.collect_counters()
-        total.update(instance.counters)
-    return total["relayed"] if total else None
+def _second_hops(site: Site) -> int | None:
+    """Sum the relays of all runs; a killed run does not count."""
+    instances = site.instances.values()
+    if not any(instance.answered_status for instance in instances):
+        return None
+    return sum(instance.counters["relayed"] for instance in instances)
 
 
 def _imbalance(site: Site, callers: Iterable[Mapping[str, Any]]) -> dict[str, float]:
