Carry control traffic between instances through the fabric

Cause: cuts, loss and delay between zones reached only packets of flows; peers talked over loopback at once and whatever was cut. Change: the list of instances names a front address of the fabric for each instance. Each instance has its own loopback address, so a front knows the sender's zone; the receiver sees the sender's front address, which is listed. Ruled out: one proxy port per pair of instances, because all instances share one list; reading the sender's name out of the gRPC stream.

--- a/src/magnoliaslip/lab/fabric.py
+++ b/src/magnoliaslip/lab/fabric.py
@@ -20,6 +20,9 @@
 JITTER = 0.2  # of the delay
 
 
+Send = Callable[[bytes, Address], object]
+
+
 class PathRule(Struct, frozen=True, forbid_unknown_fields=True):
     """A disturbance of the path from one place to another.
 
@@ -61,7 +64,7 @@
         *,
         clock: Clock,
         rng: Random,
-        send: Callable[[bytes, Address], object],
+        send: Send,
         zone_delay_s: float = 0.0,
         caller_delay_s: float = 0.0,
     ) -> None:
@@ -77,7 +80,7 @@
         self._callers: dict[bytes, Address] = {}
         self._rules: dict[tuple[str, str], PathRule] = {}
         self._cut_since: dict[tuple[str, str], float] = {}
-        self._queue: list[tuple[float, int, bytes, Address]] = []
+        self._queue: list[tuple[float, int, bytes, Address, Send]] = []
         self._numbers = count()
 
     @property
@@ -122,7 +125,7 @@
     def to_server(self, name: str, packet: bytes, source: Address) -> None:
         """Carry a packet from an instance to a backend server."""
         server = self._servers[name]
-        self._carry(self._zone_of.get(source, ""), server.zone, packet, server.tunnel)
+        self.carry(self._zone_of.get(source, ""), server.zone, packet, server.tunnel)
 
     def to_caller(self, packet: bytes, source: Address) -> None:
         """Carry a packet from an instance to the caller it is addressed to."""
@@ -130,13 +133,13 @@
         if caller is None:
             self.counters["unknown_caller"] += 1
         else:
-            self._carry(self._zone_of.get(source, ""), CALLERS, packet, caller)
+            self.carry(self._zone_of.get(source, ""), CALLERS, packet, caller)
 
     def poll(self, now: float) -> None:
         """Send the packets whose delay is over."""
         while self._queue and self._queue[0][0] <= now:
-            _, _, packet, address = heappop(self._queue)
-            self._send(packet, address)
+            _, _, packet, address, send = heappop(self._queue)
+            send(packet, address)
 
     def _spray(self, place: str, packet: bytes) -> None:
         instances = self._instances
@@ -150,22 +153,42 @@
         entry = instances[int(self._rng.random() * len(instances))]
         self.counters["sprayed"] += 1
         self.counters[f"sprayed_{entry.id}"] += 1
-        self._carry(place, entry.zone, packet, entry.data)
+        self.carry(place, entry.zone, packet, entry.data)
 
-    def _carry(self, src: str, dst: str, packet: bytes, address: Address) -> None:
+    def is_cut(self, src: str, dst: str) -> bool:
+        """Whether nothing passes from one place to another."""
+        return (src, dst) in self._cut_since
+
+    def draw_delay_s(self, src: str, dst: str) -> float | None:
+        """Return the delay of a packet in seconds, or None when it is lost."""
         rule = self._rules.get((src, dst))
         delay = self._delay_s(src, dst)
         if rule is not None:
             if rule.cut or self._rng.random() < rule.loss:
                 self.counters["cut" if rule.cut else "lost"] += 1
-                return
+                return None
             delay += rule.delay_s
-        delay *= 1 + JITTER * self._rng.random()
+        return delay * (1 + JITTER * self._rng.random())
+
+    def carry(
+        self,
+        src: str,
+        dst: str,
+        packet: bytes,
+        address: Address,
+        *,
+        send: Send | None = None,
+    ) -> None:
+        """Send a packet after the delay of its path, unless it is lost."""
+        send = send or self._send
+        delay = self.draw_delay_s(src, dst)
+        if delay is None:
+            return
         if delay < IMMEDIATE_S:
-            self._send(packet, address)
+            send(packet, address)
         else:
             due = self._clock.monotonic() + delay
-            heappush(self._queue, (due, next(self._numbers), packet, address))
+            heappush(self._queue, (due, next(self._numbers), packet, address, send))
 
     def _delay_s(self, src: str, dst: str) -> float:
         if src == dst:
--- a/src/magnoliaslip/lab/fabric_process.py
+++ b/src/magnoliaslip/lab/fabric_process.py
@@ -16,6 +16,7 @@
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.group import InstanceEntry
 from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
+from magnoliaslip.lab.control_front import ControlFronts, FrontLine
 from magnoliaslip.lab.fabric import FabricModel, PathRule, ServerPort
 from magnoliaslip.lab.http_server import HttpAnswer, HttpRequest, serve_http
 from magnoliaslip.lab.model_loop import run_timers, send_to
@@ -49,6 +50,7 @@
         caller_delay_s: One-way delay between callers and zones, in seconds.
         servers: The backend servers.
         caller_lines: The callers.
+        fronts: The instances' control addresses.
         seed: Seed of the random source.
     """
 
@@ -60,6 +62,7 @@
     caller_delay_s: float
     servers: list[ServerLine]
     caller_lines: list[CallerLine]
+    fronts: list[FrontLine]
     seed: int = 1
 
 
@@ -121,6 +124,8 @@
                 tasks.start_soon(read_batches_from, returns, model.from_server)
                 tasks.start_soon(read_batches_from, egress, model.to_caller)
                 tasks.start_soon(run_timers, model, self._clock)
+                fronts = ControlFronts(settings.fronts, fabric=model, clock=self._clock)
+                tasks.start_soon(fronts.run)
                 admin = Address.parse(settings.admin)
                 await tasks.start(serve_http, admin, partial(_handle, model))
                 print("ready fabric", flush=True)
--- a/src/magnoliaslip/lab/instances.py
+++ b/src/magnoliaslip/lab/instances.py
@@ -37,6 +37,7 @@
 
     Args:
         entry: Its line in the list of instances.
+        control: Where it listens; the list names its front at the fabric.
         settings: Its settings file; written here.
         values: Further settings.
         children: Owner of the process.
@@ -55,10 +56,12 @@
         settings: Path,
         values: Mapping[str, object],
         *,
+        control: Address,
         children: Children,
         command: Command = instance_command,
     ) -> None:
         self.entry = entry
+        self.control = control
         self.config_version = 0
         self.starts = 0
         self.answered_status = False
@@ -71,7 +74,7 @@
             "id": entry.id,
             "zone": entry.zone,
             "data": str(entry.data),
-            "control": str(entry.control),
+            "control": str(control),
             "shutdown_deadline_s": SHUTDOWN_DEADLINE_S,
         }
         settings.write_bytes(encode(lines | dict(values)))
@@ -123,7 +126,7 @@
         """Return the status of the running instance; empty when it answers none."""
         if not self.is_running:
             return {}
-        return await fetch_status(self.entry.control)
+        return await fetch_status(self.control)
 
     async def collect_status(self) -> None:
         """Note version and counters of the present run; called once at its end."""
--- a/src/magnoliaslip/lab/ports.py
+++ b/src/magnoliaslip/lab/ports.py
@@ -27,20 +27,20 @@
         self._rng = rng
         self._picked: set[int] = set()
 
-    def pick(self) -> Address:
-        """Return an address whose port is free now."""
+    def pick(self, host: str = HOST) -> Address:
+        """Return an address of a loopback host whose port is free now."""
         while True:
             port = self._rng.randint(FIRST_PORT, LAST_PORT)
-            if port not in self._picked and _is_free(port):
+            if port not in self._picked and _is_free(host, port):
                 self._picked.add(port)
-                return Address(HOST, port)
+                return Address(host, port)
 
 
-def _is_free(port: int) -> bool:
+def _is_free(host: str, port: int) -> bool:
     for kind in (SOCK_STREAM, SOCK_DGRAM):
         with Socket(AF_INET, kind) as sock:
             try:
-                sock.bind((HOST, port))
+                sock.bind((host, port))
             except OSError:
                 return False
     return True
--- a/src/magnoliaslip/lab/steps.py
+++ b/src/magnoliaslip/lab/steps.py
@@ -41,8 +41,8 @@
 class PathStep(Step, frozen=True, tag="path"):
     """Disturbs both directions between two places.
 
-    Places are availability zones and ``callers``. Control streams between instances
-    do not cross the fabric and are not disturbed.
+    Places are availability zones and ``callers``. Loss delays control streams
+    between instances, as TCP repeats what was lost.
     """
 
     src: str
--- /dev/null
+++ b/tests/lab/test_control_front.py
@@ -0,0 +1,120 @@
+from random import Random, SystemRandom
+
+from anyio import (
+    connect_tcp,
+    create_task_group,
+    create_tcp_listener,
+    create_udp_socket,
+    fail_after,
+    move_on_after,
+    run,
+)
+from anyio.abc import SocketAttribute
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.lab.control_front import ControlFronts, FrontLine
+from magnoliaslip.lab.fabric import FabricModel, PathRule
+from magnoliaslip.lab.model_loop import run_timers
+from magnoliaslip.lab.ports import PortPicker
+
+CUT = {("a", "b"): PathRule(cut=True)}
+
+
+def with_fronts(scenario):
+    """Run ``scenario(fabric, sender, receiver)`` with two instances in two zones."""
+
+    async def main():
+        ports = PortPicker(SystemRandom())
+        lines = [
+            FrontLine(
+                f"i{n}",
+                zone,
+                front=str(ports.pick(f"127.0.2.{n}")),
+                control=str(ports.pick(f"127.0.1.{n}")),
+            )
+            for n, zone in enumerate("ab", 1)
+        ]
+        clock = SystemClock()
+        fabric = FabricModel(
+            clock=clock, rng=Random(1), send=lambda *_: None, zone_delay_s=0.001
+        )
+        with fail_after(5):
+            async with create_task_group() as tasks:
+                tasks.start_soon(ControlFronts(lines, fabric=fabric, clock=clock).run)
+                tasks.start_soon(run_timers, fabric, clock)
+                await scenario(fabric, *lines)
+                tasks.cancel_scope.cancel()
+
+    run(main)
+
+
+async def connect(sender, receiver):
+    front = Address.parse(receiver.front)
+    local_host = Address.parse(sender.control).host
+    while True:
+        try:
+            return await connect_tcp(front.host, front.port, local_host=local_host)
+        except OSError:  # the front does not listen yet
+            continue
+
+
+def test_stream_waits_while_its_path_is_cut():
+    """Guards against control news that cross a cut, or are lost after it."""
+
+    async def scenario(fabric, sender, receiver):
+        control = Address.parse(receiver.control)
+        async with await create_tcp_listener(
+            local_host=control.host, local_port=control.port
+        ) as listener:
+            accepted = []
+
+            async def echo(stream):
+                accepted.append(stream.extra(SocketAttribute.remote_address)[0])
+                async for data in stream:
+                    await stream.send(data)
+
+            async with create_task_group() as tasks:
+                tasks.start_soon(listener.serve, echo)
+                async with await connect(sender, receiver) as stream:
+                    await stream.send(b"before")
+                    assert await stream.receive() == b"before"
+                    fabric.set_rules(CUT)
+                    await stream.send(b"during")
+                    with move_on_after(0.1) as waited:
+                        await stream.receive()
+                    assert waited.cancelled_caught
+                    fabric.set_rules({})
+                    assert await stream.receive() == b"during"
+                tasks.cancel_scope.cancel()
+            assert accepted == [Address.parse(sender.front).host]
+
+    with_fronts(scenario)
+
+
+def test_relay_comes_from_the_front_of_its_sender():
+    """Guards against relays that the receiver takes for packets of a stranger."""
+
+    async def scenario(fabric, sender, receiver):
+        control, front = map(Address.parse, (receiver.control, receiver.front))
+        source = Address.parse(sender.control)
+        async with (
+            await create_udp_socket(
+                local_host=control.host, local_port=control.port
+            ) as there,
+            await create_udp_socket(
+                local_host=source.host, local_port=source.port
+            ) as here,
+        ):
+            (await (await connect(sender, receiver)).aclose())
+            await here.sendto(b"relay", *front)
+            packet, address = await there.receive()
+            assert packet == b"relay"
+            assert address == Address.parse(sender.front)
+            fabric.set_rules(CUT)
+            await here.sendto(b"lost", *front)
+            with move_on_after(0.1) as waited:
+                await there.receive()
+            assert waited.cancelled_caught
+
+    with_fronts(scenario)
