--- a/tests/lab/test_experiment.py
+++ b/tests/lab/test_experiment.py
@@ -1,14 +1,14 @@
 from pathlib import Path
 
 import pytest
-from anyio import run
+from anyio import fail_after, run
 
 from magnoliaslip.core.errors import SettingsError
 from magnoliaslip.lab.experiment import Experiment, ExperimentFile, load_experiment
 from magnoliaslip.lab.load import LoadConfig
 from magnoliaslip.lab.site import SiteOptions
 from magnoliaslip.lab.steps import InstanceStep, PathStep
-from tests.lab.test_site import forwarder_command
+from tests.lab.test_site import LIMIT_S, forwarder_command
 
 EXAMPLES = Path(__file__).parents[2] / "examples" / "experiments"
 
@@ -57,7 +57,13 @@
         command=forwarder_command,
         record_dir=tmp_path,
     )
-    report = run(Experiment(content, options=options, record_dir=tmp_path).run)
+    experiment = Experiment(content, options=options, record_dir=tmp_path)
+
+    async def bounded():
+        with fail_after(LIMIT_S):
+            return await experiment.run()
+
+    report = run(bounded)
     times = [(time.began_s, time.ended_s) for time in report.steps]
     for (began, ended), step in zip(times, content.steps, strict=True):
         assert 0 <= began - step.at_s < 1
