Show the work of the complete router in its status

The operators' tool compared tables by the bucket table of the thin router, whose constructor changed, and AdminService called FlowRouter.status(), which did not exist. DefaultServers wraps the new bucket table, and the router states its flows, exceptions, and for each backend server the work, the limit and whether it is cold or refusing. Reports of other owners are left out of the work, so that a sum over instances counts a flow once.

--- a/src/magnoliaslip/ops/diff.py
+++ b/src/magnoliaslip/ops/diff.py
@@ -4,7 +4,8 @@
 from dataclasses import dataclass
 
 from magnoliaslip.config.snapshot import BackendServer, Pool, Snapshot
-from magnoliaslip.placement.bucket_table import BUCKETS, BucketTable
+from magnoliaslip.ops.defaults import DefaultServers, eligible_servers
+from magnoliaslip.placement.bucket_table import BUCKETS
 
 # Hashes computed for the comparison of one service; a larger pool is compared on
 # evenly spaced buckets, which bounds a comparison to some seconds.
@@ -50,15 +51,6 @@
     return TableDiff(tuple(_changes(old, new)), moves)
 
 
-def eligible_servers(snapshot: Snapshot, service: str) -> list[BackendServer]:
-    """Return the backend servers of a service that take new flows."""
-    return [
-        server
-        for server in snapshot.pools[service].servers
-        if not server.drain and server.zone not in snapshot.zones_out
-    ]
-
-
 def find_warnings(snapshot: Snapshot) -> list[str]:
     """Return what is valid and probably not meant."""
     warnings = []
@@ -91,7 +83,7 @@
     least = least_share(old_names, new_names)
     if old_names == new_names:
         return FlowMove(service, 0.0, least, BUCKETS)
-    before, after = BucketTable(service, old), BucketTable(service, new)
+    before, after = DefaultServers(service, old), DefaultServers(service, new)
     hashes = BUCKETS * (len(old) + len(new))
     step = 1
     while hashes // step > MAX_HASHES and step < BUCKETS:
--- a/src/magnoliaslip/ops/explaining.py
+++ b/src/magnoliaslip/ops/explaining.py
@@ -2,9 +2,9 @@
 
 from magnoliaslip.config.snapshot import Snapshot
 from magnoliaslip.core.address import Address
-from magnoliaslip.ops.diff import eligible_servers
+from magnoliaslip.ops.defaults import DefaultServers, eligible_servers
 from magnoliaslip.packet.flow_key import make_key
-from magnoliaslip.placement.bucket_table import BUCKET_MASK, BucketTable
+from magnoliaslip.placement.bucket_table import BUCKET_MASK
 from magnoliaslip.placement.explanation import Explanation
 from magnoliaslip.placement.hashing import flow_hash
 
@@ -41,7 +41,7 @@
         elif server.drain:
             steps.append(f"{server.name} takes no new flow: it drains")
     eligible = eligible_servers(snapshot, route.service)
-    name = BucketTable(route.service, eligible).winner(bucket)
+    name = DefaultServers(route.service, eligible).winner(bucket)
     if name is None:
         steps.append("no backend server is left; the open is refused or dropped")
         return Explanation(
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -32,6 +32,7 @@
 from magnoliaslip.placement.settings import PlacementConfig
 from magnoliaslip.placement.slices import owning_members
 from magnoliaslip.placement.state import POLICIES, PlacementState
+from magnoliaslip.placement.status import RouterStatus, server_statuses
 from magnoliaslip.placement.suspect_queue import SuspectQueue
 
 
@@ -305,6 +306,11 @@
         """Tell which server a mid-flow packet or a new flow gets, and why."""
         return explain(self._state, self._keeper, key)
 
+    def status(self) -> RouterStatus:
+        """Return flows and exceptions held, and the state of backend servers."""
+        servers = tuple(server_statuses(self._state))
+        return RouterStatus(self.flows_held, self.exceptions_held, servers)
+
     def mark_view_suspect(self) -> None:
         """Hold packets until `confirm_view`, 500 ms at most.
 
--- a/src/magnoliaslip/placement/status.py
+++ b/src/magnoliaslip/placement/status.py
@@ -1,7 +1,11 @@
 """What a router holds, for operators to read."""
 
+from collections.abc import Iterator
 from dataclasses import dataclass
 
+from magnoliaslip.placement.service import Service
+from magnoliaslip.placement.state import PlacementState
+
 
 @dataclass(slots=True, frozen=True)
 class ServerStatus:
@@ -35,3 +39,31 @@
     flows: int = 0
     exceptions: int = 0
     servers: tuple[ServerStatus, ...] = ()
+
+
+def server_statuses(state: PlacementState) -> Iterator[ServerStatus]:
+    """Yield the backend servers of all pools in force, by service name.
+
+    The work leaves out what other owners report, so that a sum over instances counts
+    each flow once.
+    """
+    now = state.now()
+    for name in sorted(state.services_by_name):
+        service = state.services_by_name[name]
+        for server in service.pool.servers if service.pool else ():
+            number = service.servers.find(server.name)
+            if number is None:
+                continue
+            load = service.load
+            work = load.work(server, number, now) - load.reported(number, now)
+            limit = server.slots
+            if load.is_cold(number, now):
+                limit = load.budget(server, number, state.view, now)
+            label = _label(service, number, now)
+            yield ServerStatus(name, server.name, work, limit, label)
+
+
+def _label(service: Service, number: int, now: float) -> str:
+    if service.evidence.refusing_ms(number, now):
+        return "refusing"
+    return "cold" if service.load.is_cold(number, now) else "warm"
