--- a/src/magnoliaslip/ops/diff.py
+++ b/src/magnoliaslip/ops/diff.py
@@ -4,8 +4,8 @@
 from dataclasses import dataclass
 
 from magnoliaslip.config.snapshot import BackendServer, Pool, Snapshot
-from magnoliaslip.ops.defaults import DefaultServers, eligible_servers
 from magnoliaslip.placement.bucket_table import BUCKETS
+from magnoliaslip.placement.default_servers import DefaultServers
 
 # Hashes computed for the comparison of one service; a larger pool is compared on
 # evenly spaced buckets, which bounds a comparison to some seconds.
@@ -51,6 +51,15 @@
     return TableDiff(tuple(_changes(old, new)), moves)
 
 
+def eligible_servers(snapshot: Snapshot, service: str) -> list[BackendServer]:
+    """Return the backend servers of a service that take new flows."""
+    return [
+        server
+        for server in snapshot.pools[service].servers
+        if not server.drain and server.zone not in snapshot.zones_out
+    ]
+
+
 def find_warnings(snapshot: Snapshot) -> list[str]:
     """Return what is valid and probably not meant."""
     warnings = []
@@ -89,10 +98,17 @@
     while hashes // step > MAX_HASHES and step < BUCKETS:
         step *= 2
     buckets = range(0, BUCKETS, step)
-    moved = sum(before.winner(bucket) != after.winner(bucket) for bucket in buckets)
+    moved = sum(
+        _name(before.winner(bucket)) != _name(after.winner(bucket))
+        for bucket in buckets
+    )
     return FlowMove(service, moved / len(buckets), least, len(buckets))
 
 
+def _name(server: BackendServer | None) -> str:
+    return server.name if server else ""
+
+
 def _changes(old: Snapshot, new: Snapshot) -> Iterator[str]:
     for zone in sorted(new.zones_out - old.zones_out):
         yield f"zone {zone}: out of service; its established flows are given up"
--- a/src/magnoliaslip/placement/status.py
+++ b/src/magnoliaslip/placement/status.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterator
 from dataclasses import dataclass
 
+from magnoliaslip.config.snapshot import BackendServer
 from magnoliaslip.placement.service import Service
 from magnoliaslip.placement.state import PlacementState
 
@@ -16,7 +17,8 @@
         server: Name of the backend server.
         work: Work in flight that this instance placed on the server.
         limit: Work up to which the server admits new flows now; 0 when not stated.
-        state: ``warm``, ``cold`` or ``refusing``.
+        state: ``out`` (its availability zone is), ``draining``, ``refusing``, ``cold``
+            or ``warm``.
     """
 
     service: str
@@ -59,11 +61,17 @@
             limit = server.slots
             if load.is_cold(number, now):
                 limit = load.budget(server, number, state.view, now)
-            label = _label(service, number, now)
+            label = _label(state, service, server, number)
             yield ServerStatus(name, server.name, work, limit, label)
 
 
-def _label(service: Service, number: int, now: float) -> str:
-    if service.evidence.refusing_ms(number, now):
+def _label(
+    state: PlacementState, service: Service, server: BackendServer, number: int
+) -> str:
+    if server.zone in state.snapshot.zones_out:
+        return "out"
+    if server.drain:
+        return "draining"
+    if service.evidence.refusing_ms(number, state.now()):
         return "refusing"
-    return "cold" if service.load.is_cold(number, now) else "warm"
+    return "cold" if service.load.is_cold(number, state.now()) else "warm"
--- a/tests/placement/test_status.py
+++ b/tests/placement/test_status.py
@@ -48,6 +48,7 @@
     for port in range(3):
         packet = Segment(make_key(Address("192.0.2.7", 40000 + port), SERVICE), SYN)
         router.handle_packet(packet.encode(), direction=Direction.REQUEST)
+    assert [server.state for server in router.status().servers] == ["warm", "out"]
     clock.advance(0.5)
     router.apply_history([*history, HistoryEntry(snapshot(2, ""), 100.5)])
     state = router.status()
