Leave pauses of the process out of the ages of heartbeats

Cause: an instance that woke after more than 2 s took all members for dead, so in its view it owned every slice until it heard them again. Connections of a cut path stayed open on the called side. Change: the length of a pause is added to the times of the last heartbeats, before any message is handled; control connections use TCP keep-alive. Ruled out: keeping the view while it is suspect, because the first answer of a peer ends the suspicion before the heartbeats of the others arrive.

--- a/src/magnoliaslip/peering/counted_transport.py
+++ b/src/magnoliaslip/peering/counted_transport.py
@@ -4,6 +4,15 @@
 """
 
 from asyncio import BaseTransport, Transport
+from socket import (
+    IPPROTO_TCP,
+    SO_KEEPALIVE,
+    SOL_SOCKET,
+    TCP_KEEPCNT,
+    TCP_KEEPIDLE,
+    TCP_KEEPINTVL,
+    TCP_USER_TIMEOUT,
+)
 from typing import Any, cast
 
 from grpclib.client import Channel
@@ -15,6 +24,15 @@
 
 SENT_COUNTER = "control_bytes_sent"
 RECEIVED_COUNTER = "control_bytes_received"
+# A called end notices by these that its caller's path is gone for good; else the
+# connections of each cut would stay until the process ends.
+KEEPALIVE = (
+    (SOL_SOCKET, SO_KEEPALIVE, 1),
+    (IPPROTO_TCP, TCP_KEEPIDLE, 10),  # s
+    (IPPROTO_TCP, TCP_KEEPINTVL, 5),  # s
+    (IPPROTO_TCP, TCP_KEEPCNT, 3),
+    (IPPROTO_TCP, TCP_USER_TIMEOUT, 25_000),  # ms
+)
 
 
 class _CountingTransport:
@@ -42,6 +60,9 @@
         self._metrics = metrics
 
     def connection_made(self, transport: BaseTransport) -> None:
+        sock = transport.get_extra_info("socket")
+        for level, option, value in KEEPALIVE:
+            sock.setsockopt(level, option, value)
         counting = _CountingTransport(cast(Transport, transport), self._metrics)
         super().connection_made(cast(BaseTransport, counting))
 
--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -145,9 +145,9 @@
                         address=address,
                         reason=repr(reason),
                     )
+                queue.clear()
                 await anyio.sleep(backoff * self._rng.uniform(0.5, 1.0))
                 backoff = min(2 * backoff, BACKOFF_MAX_S)
-                queue.clear()
         if self._queues.get(peer) is queue:
             del self._queues[peer]
 
--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -222,6 +222,16 @@
             record.direct_at = now
         return True
 
+    def skip_pause(self, seconds: float) -> None:
+        """Leave a time in which this process stood still out of all ages.
+
+        Otherwise all members would look dead to an instance that wakes late, and it
+        would own every slice until it hears them again.
+        """
+        for record in self._peers.values():
+            record.any_at += seconds
+            record.direct_at += seconds
+
     def accepts_message(self, peer: str, incarnation: int) -> bool:
         """Return whether a message is not from a former incarnation."""
         record = self._peers.get(peer)
--- a/src/magnoliaslip/peering/node.py
+++ b/src/magnoliaslip/peering/node.py
@@ -157,6 +157,7 @@
             with anyio.move_on_after(HEARTBEAT_S):
                 await self._push.wait()
             self._push = anyio.Event()
+            self._confirmation.check_pause()
             self._heartbeat_all()
             await anyio.sleep(PUSH_GAP_S)
 
@@ -182,9 +183,8 @@
 
     async def _tick(self) -> None:
         while True:
-            self._confirmation.check_pause()
-            self._confirmation.check_silence()
             self.refresh_view()
+            self._confirmation.check_silence()
             self._router.on_tick()
             await anyio.sleep(TICK_S)
 
@@ -198,6 +198,7 @@
 
     def refresh_view(self) -> None:
         """Apply the group view to the router if it changed."""
+        self._confirmation.check_pause()
         view = self.membership.view()
         if view is self._view:
             return
@@ -212,6 +213,7 @@
 
         A message is passed on once at most: the receiver sends it directly.
         """
+        self._confirmation.check_pause()
         if not self.membership.accepts_sender(msg.sender):
             self._reject(msg, "sender is no member")
         elif msg.forward_to and msg.forward_to != self.membership.instance_id:
--- a/src/magnoliaslip/peering/view_confirmation.py
+++ b/src/magnoliaslip/peering/view_confirmation.py
@@ -76,6 +76,7 @@
         gap, self._last_tick = now - self._last_tick, now
         if gap > PAUSE_S:
             log_event(logger, Event.CLOCK_JUMPED, seconds=round(gap, 3))
+            self._membership.skip_pause(gap)
             self._mark_suspect()
         elif self._router.suspect and not self.suspect:
             self._mark_suspect()
--- a/tests/peering/harness.py
+++ b/tests/peering/harness.py
@@ -149,6 +149,10 @@
         if receiver in self.nodes and (sender, receiver) not in self.cuts:
             self.nodes[receiver].on_message(PeerMessage.FromString(data))
 
+    def pause_all(self, seconds):
+        """Let time pass in which no process runs."""
+        get_running_loop().virtual.now += seconds
+
     def cut(self, *names, others):
         pairs = {(a, b) for a in names for b in others}
         self.cuts |= pairs | {(b, a) for a, b in pairs}
--- a/tests/peering/test_node.py
+++ b/tests/peering/test_node.py
@@ -113,6 +113,18 @@
     assert group.network.sent_bytes["i1"] == sent + msg.ByteSize()
 
 
+@in_group()
+async def test_pause_changes_no_view(group):
+    # Guards against an instance that wakes late, takes all others for dead and owns
+    # every slice.
+    views = {name: len(router.views) for name, router in group.routers.items()}
+    group.network.pause_all(30)
+    await anyio.sleep(1)
+    assert {n: len(router.views) for n, router in group.routers.items()} == views
+    assert all(len(router.suspect_at) == 1 for router in group.routers.values())
+    assert all(len(router.confirmed_at) == 1 for router in group.routers.values())
+
+
 @in_group(count=7, zones=4)
 async def test_idle_control_traffic_is_small(group):
     # Guards against heartbeats that leave no room for exceptions in 4 KB/s.
