--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -33,10 +33,19 @@
         dirty: Whether the bucket holds exceptions now.
         key: Flow key of an exception operation.
         server: Server of the exception; empty when it is removed.
+        removed: Whether it is removed if it names this server.
         sequence: Number in the log; 0 until it is sent.
     """
 
-    __slots__ = ("bucket", "dirty", "key", "sequence", "server", "service")
+    __slots__ = (
+        "bucket",
+        "dirty",
+        "key",
+        "removed",
+        "sequence",
+        "server",
+        "service",
+    )
 
     def __init__(
         self,
@@ -46,12 +55,14 @@
         dirty: bool = False,
         key: bytes = b"",
         server: str = "",
+        removed: bool = False,
     ) -> None:
         self.service = service
         self.bucket = bucket
         self.dirty = dirty
         self.key = key
         self.server = server
+        self.removed = removed
         self.sequence = 0
 
 
@@ -69,7 +80,12 @@
             )
         else:
             entries.exceptions.append(
-                ExceptionOp(service_index=index, key=op.key, server=op.server)
+                ExceptionOp(
+                    service_index=index,
+                    key=op.key,
+                    server=op.server,
+                    removed=op.removed,
+                )
             )
     entries.services.extend(indexes)
     return entries
@@ -82,6 +98,8 @@
         peer: The addressee.
         incarnation: Incarnation of the addressee.
         send: Sends a message to a peer.
+        first_sequence: Above every number that this process used for the peer, so
+            that the peer does not take the new start for a repeated message.
     """
 
     __slots__ = (
@@ -101,13 +119,18 @@
     )
 
     def __init__(
-        self, peer: str, incarnation: int, send: Callable[[str, PeerMessage], None]
+        self,
+        peer: str,
+        incarnation: int,
+        send: Callable[[str, PeerMessage], None],
+        *,
+        first_sequence: int = 1,
     ) -> None:
         self.peer = peer
         self.incarnation = incarnation
         self.acked = -1
         self._send = send
-        self._next = 1
+        self._next = first_sequence
         self._buckets: deque[LogOp] = deque()
         self._exceptions: deque[LogOp] = deque()
         self._in_flight: deque[tuple[int, LogEntries]] = deque()
@@ -138,9 +161,18 @@
         self._append(self._buckets, op)
         return op
 
-    def add_exception(self, service: str, key: bytes, server: str) -> LogOp:
-        """Append an exception; an empty server removes it."""
-        op = LogOp(service, key=key, server=server)
+    def add_exception(
+        self, service: str, key: bytes, server: str, *, removed: bool = False
+    ) -> LogOp:
+        """Append an exception; an empty server removes it.
+
+        Args:
+            service: Name of the service.
+            key: Flow key.
+            server: Name of the server.
+            removed: Remove the exception if it names this server.
+        """
+        op = LogOp(service, key=key, server=server, removed=removed)
         self._append(self._exceptions, op)
         return op
 
