Give the peers the plain link, and ask the router when it is ready

InstanceNode handed its ForwardingLink to PeerNode, which wraps the link again. A message that was passed on then went through the outer link, whose send() replaced its sender by the instance that passed it on. The node also asked the router for an attribute that it does not have ('synchronized').

--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -111,7 +111,7 @@
             cfg.zone,
             incarnation,
             clock=clock,
-            link=link,
+            link=peers,
             platform=platform,
             store=self.store,
             router=self.router,
@@ -157,7 +157,7 @@
             await sleep(POLL_S)
         deadline = self._clock.monotonic() + JOIN_WAIT_S
         while self._clock.monotonic() < deadline and not self._stop.is_set():
-            if self.router.synchronized:
+            if self.router.exceptions_ready:
                 break
             await sleep(POLL_S)
         self._announce(MemberState.SERVING)
