Record when a feed gives its slot back

Rule 3 counted feeds as requests in progress for as long as they were open, although a feed holds a slot only while it is worked on; it reported five requests on a server that admits four. The backend server now records the phase 'idle'.

--- a/src/magnoliaslip/lab/backend.py
+++ b/src/magnoliaslip/lab/backend.py
@@ -345,6 +345,7 @@
 
     def _end_work(self, job: _Job) -> None:
         if job.request.kind is Kind.FEED and not job.cancelled:
+            self._record_request(job, "idle")
             self._push(job)
         else:
             self._finish(job, complete=True)
