--- a/tests/peering/harness.py
+++ b/tests/peering/harness.py
@@ -56,6 +56,7 @@
     def __init__(self):
         self.views, self.histories, self.heartbeats = [], [], []
         self.suspect_at, self.confirmed_at, self.ticks = [], [], 0
+        self.suspect = False
 
     def apply_view(self, view):
         self.views.append(view)
@@ -76,9 +77,11 @@
         self.ticks += 1
 
     def mark_view_suspect(self):
+        self.suspect = True
         self.suspect_at.append(get_running_loop().time())
 
     def confirm_view(self):
+        self.suspect = False
         self.confirmed_at.append(get_running_loop().time())
 
 
@@ -146,6 +149,10 @@
         if receiver in self.nodes and (sender, receiver) not in self.cuts:
             self.nodes[receiver].on_message(PeerMessage.FromString(data))
 
+    def pause_all(self, seconds):
+        """Let time pass in which no process runs."""
+        get_running_loop().virtual.now += seconds
+
     def cut(self, *names, others):
         pairs = {(a, b) for a in names for b in others}
         self.cuts |= pairs | {(b, a) for a, b in pairs}
