Run each gRPC conversation in a task of its own

The gRPC library cancels its task when a connection is lost, and that task also held scopes of anyio. Change: the library's part runs in plain asyncio tasks whose end is only observed. Ruled out: a blocked event loop (12 percent of a core, idle in select).

--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -8,7 +8,8 @@
 them out.
 """
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
 from logging import getLogger
 from random import Random
 from typing import Any
@@ -175,35 +176,52 @@
         self.answered = False
 
     async def run(self, address: Address, local_host: str, metrics: Metrics) -> str:
-        """Send until the stream fails or is silent; returns the reason."""
+        """Send until the stream fails or is silent; returns the reason.
+
+        The gRPC library cancels its own task when a connection is lost. It gets a
+        task of its own, so that such a cancellation ends no scope of the caller.
+        """
         channel = CountingChannel(address, local_host=local_host, metrics=metrics)
-        reason = "the peer ended the stream"
+        conversation = asyncio.ensure_future(self._converse(channel))
         try:
-            with anyio.fail_after(CONNECT_LIMIT_S):
-                await channel.__connect__()
-            headers = {
-                SENDER_HEADER: self._sender,
-                INCARNATION_HEADER: str(self._incarnation),
-            }
-            async with PeeringStub(channel).Exchange.open(metadata=headers) as stream:
-                await stream.send_request()
-                await self._exchange(stream)
-        except* Exception as group:
-            # Whatever fails, of sockets, HTTP/2 or decoding: the stream is replaced.
-            reason = repr(group.exceptions[0])
+            await asyncio.wait((conversation,))
         finally:
+            await _end_tasks((conversation,))
             channel.close()
-        return reason
+        return _reason(conversation)
+
+    async def _converse(self, channel: CountingChannel) -> None:
+        async with asyncio.timeout(CONNECT_LIMIT_S):
+            await channel.__connect__()
+        headers = {
+            SENDER_HEADER: self._sender,
+            INCARNATION_HEADER: str(self._incarnation),
+        }
+        async with PeeringStub(channel).Exchange.open(metadata=headers) as stream:
+            await stream.send_request()
+            await self._exchange(stream)
 
     async def _exchange(self, stream: ClientStream) -> None:
         self._silent_at = self._clock.monotonic() + SILENT_S
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, stream)
-            tasks.start_soon(self._watch_silence)
-            while await stream.recv_message() is not None:
-                self.answered = True
-                self._silent_at = self._clock.monotonic() + SILENT_S
-            tasks.cancel_scope.cancel()
+        tasks = [
+            asyncio.ensure_future(part)
+            for part in (
+                self._send(stream),
+                self._receive(stream),
+                self._watch_silence(),
+            )
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await _end_tasks(tasks)
+        for task in done:
+            task.result()
+
+    async def _receive(self, stream: ClientStream) -> None:
+        while await stream.recv_message() is not None:
+            self.answered = True
+            self._silent_at = self._clock.monotonic() + SILENT_S
 
     async def _send(self, stream: ClientStream) -> None:
         while True:
@@ -223,6 +241,21 @@
         raise TimeoutError(f"no answer for {SILENT_S} s")
 
 
+async def _end_tasks(tasks: Sequence[asyncio.Future[None]]) -> None:
+    """Cancel tasks and wait for their end, for a bounded time."""
+    for task in tasks:
+        task.cancel()
+    with anyio.CancelScope(shield=True):
+        await asyncio.wait(tasks, timeout=CONNECT_LIMIT_S)
+
+
+def _reason(task: asyncio.Future[None]) -> str:
+    if not task.done() or task.cancelled():
+        return "the stream was cancelled"
+    exc = task.exception()
+    return "the peer ended the stream" if exc is None else repr(exc)
+
+
 class PeeringService(PeeringBase):
     """Receives the streams of members.
 
--- a/tests/peering/test_grpc_link.py
+++ b/tests/peering/test_grpc_link.py
@@ -179,3 +179,47 @@
             await send_until(first.link, "i2", msg, lambda: second.received)
 
     anyio.run(main)
+
+
+def test_restarts_and_delisting_of_a_peer_keep_the_link_serving():
+    """Guards against a cancellation inside the gRPC library that ends the link.
+
+    The library cancels its own task when a connection is lost. That cancellation
+    once ended the dialling tasks and the server of an instance without a trace.
+    """
+
+    async def main():
+        addresses = dict(zip(("i1", "i2", "i3"), free_addresses(3), strict=True))
+        first, third = End("i1", addresses), End("i3", addresses)
+        msg, back = PeerMessage(sender="i1"), PeerMessage(sender="i3")
+        with anyio.fail_after(2 * LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(first.link.run, first.on_message)
+                tasks.start_soon(third.link.run, third.on_message)
+                for version in range(2, 8):
+                    second = End("i2", addresses)
+                    async with anyio.create_task_group() as restarted:
+                        restarted.start_soon(second.link.run, second.on_message)
+                        await send_until(first.link, "i2", msg, lambda: second.received)  # noqa: B023
+                        if version % 2:
+                            kept = [
+                                InstanceEntry(
+                                    name, "a", addresses[name], addresses[name]
+                                )
+                                for name in ("i1", "i2", "i3")
+                                if name != "i2"
+                            ]
+                            first.membership.apply_list(kept, 2 * version)
+                        restarted.cancel_scope.cancel()
+                    entries = [
+                        InstanceEntry(name, "a", address, address)
+                        for name, address in addresses.items()
+                    ]
+                    first.membership.apply_list(entries, 2 * version + 1)
+                    first.received.clear()
+                    third.received.clear()
+                    await send_until(third.link, "i1", back, lambda: first.received)
+                    await send_until(first.link, "i3", msg, lambda: third.received)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
