--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -3,9 +3,13 @@
 Each instance dials every other member and sends on its own stream. The called side
 answers with empty messages, at most one per `ANSWER_GAP_S`, by which the dialling
 side sees that its stream still works.
+
+The headers of a stream name its sender and incarnation, so the messages on it leave
+them out.
 """
 
-from collections.abc import Callable, Iterable
+import asyncio
+from collections.abc import Callable, Iterable, Sequence
 from logging import getLogger
 from random import Random
 from typing import Any
@@ -34,6 +38,8 @@
 BACKOFF_MIN_S = 0.1
 BACKOFF_MAX_S = 1.0  # a member whose path returns is heard again within 2 s
 TARGETS_CHECK_S = 0.2
+SENDER_HEADER = "magnoliaslip-sender"
+INCARNATION_HEADER = "magnoliaslip-incarnation"
 
 logger = getLogger(__name__)
 
@@ -128,7 +134,7 @@
         backoff = BACKOFF_MIN_S
         with scope:
             while True:
-                stream = _PeerStream(queue, clock=self._clock)
+                stream = _PeerStream(queue, self._membership, clock=self._clock)
                 reason = await stream.run(address, self._control.host, self._metrics)
                 self._metrics.counters["peer_streams_replaced"] += 1
                 if stream.answered:
@@ -140,9 +146,9 @@
                         address=address,
                         reason=repr(reason),
                     )
+                queue.clear()
                 await anyio.sleep(backoff * self._rng.uniform(0.5, 1.0))
                 backoff = min(2 * backoff, BACKOFF_MAX_S)
-                queue.clear()
         if self._queues.get(peer) is queue:
             del self._queues[peer]
 
@@ -150,44 +156,84 @@
 class _PeerStream:
     """One stream to a peer, from its connection to its end."""
 
-    __slots__ = ("_clock", "_queue", "_silent_at", "answered")
+    __slots__ = (
+        "_clock",
+        "_incarnation",
+        "_queue",
+        "_sender",
+        "_silent_at",
+        "answered",
+    )
 
-    def __init__(self, queue: SendQueue, *, clock: Clock) -> None:
+    def __init__(
+        self, queue: SendQueue, membership: Membership, *, clock: Clock
+    ) -> None:
         self._queue = queue
+        self._sender = membership.instance_id
+        self._incarnation = membership.incarnation
         self._clock = clock
         self._silent_at = 0.0
         self.answered = False
 
     async def run(self, address: Address, local_host: str, metrics: Metrics) -> str:
-        """Send until the stream fails or is silent; returns the reason."""
+        """Send until the stream fails or is silent; returns the reason.
+
+        The gRPC library cancels its own task when a connection is lost. It gets a
+        task of its own, so that such a cancellation ends no scope of the caller.
+        """
         channel = CountingChannel(address, local_host=local_host, metrics=metrics)
-        reason = "the peer ended the stream"
+        conversation = asyncio.ensure_future(self._converse(channel))
         try:
-            with anyio.fail_after(CONNECT_LIMIT_S):
-                await channel.__connect__()
-            async with PeeringStub(channel).Exchange.open() as stream:
-                await stream.send_request()
-                await self._exchange(stream)
-        except* Exception as group:
-            # Whatever fails, of sockets, HTTP/2 or decoding: the stream is replaced.
-            reason = repr(group.exceptions[0])
+            await asyncio.wait((conversation,))
         finally:
+            await _end_tasks((conversation,))
             channel.close()
-        return reason
+        return _reason(conversation)
+
+    async def _converse(self, channel: CountingChannel) -> None:
+        async with asyncio.timeout(CONNECT_LIMIT_S):
+            await channel.__connect__()
+        headers = {
+            SENDER_HEADER: self._sender,
+            INCARNATION_HEADER: str(self._incarnation),
+        }
+        async with PeeringStub(channel).Exchange.open(metadata=headers) as stream:
+            await stream.send_request()
+            await self._exchange(stream)
 
     async def _exchange(self, stream: ClientStream) -> None:
         self._silent_at = self._clock.monotonic() + SILENT_S
-        async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._send, stream)
-            tasks.start_soon(self._watch_silence)
-            while await stream.recv_message() is not None:
-                self.answered = True
-                self._silent_at = self._clock.monotonic() + SILENT_S
-            tasks.cancel_scope.cancel()
+        tasks = [
+            asyncio.ensure_future(part)
+            for part in (
+                self._send(stream),
+                self._receive(stream),
+                self._watch_silence(),
+            )
+        ]
+        try:
+            done, _ = await asyncio.wait(tasks, return_when=asyncio.FIRST_COMPLETED)
+        finally:
+            await _end_tasks(tasks)
+        for task in done:
+            task.result()
+
+    async def _receive(self, stream: ClientStream) -> None:
+        while await stream.recv_message() is not None:
+            self.answered = True
+            self._silent_at = self._clock.monotonic() + SILENT_S
 
     async def _send(self, stream: ClientStream) -> None:
         while True:
-            await stream.send_message(await self._queue.get())
+            msg = await self._queue.get()
+            if (msg.sender, msg.incarnation) == (self._sender, self._incarnation):
+                # The same message may wait in the queues of other peers.
+                short = PeerMessage()
+                short.CopyFrom(msg)
+                short.ClearField("sender")
+                short.ClearField("incarnation")
+                msg = short
+            await stream.send_message(msg)
 
     async def _watch_silence(self) -> None:
         while self._clock.monotonic() < self._silent_at:
@@ -195,6 +241,21 @@
         raise TimeoutError(f"no answer for {SILENT_S} s")
 
 
+async def _end_tasks(tasks: Sequence[asyncio.Future[None]]) -> None:
+    """Cancel tasks and wait for their end, for a bounded time."""
+    for task in tasks:
+        task.cancel()
+    with anyio.CancelScope(shield=True):
+        await asyncio.wait(tasks, timeout=CONNECT_LIMIT_S)
+
+
+def _reason(task: asyncio.Future[None]) -> str:
+    if not task.done() or task.cancelled():
+        return "the stream was cancelled"
+    exc = task.exception()
+    return "the peer ended the stream" if exc is None else repr(exc)
+
+
 class PeeringService(PeeringBase):
     """Receives the streams of members.
 
@@ -231,6 +292,7 @@
             self._metrics.counters["peer_streams_rejected"] += 1
             log_event(logger, Event.PEER_REJECTED, address=address)
             raise GRPCError(Status.PERMISSION_DENIED, "not a member address")
+        sender, incarnation = _stated_sender(stream)
         answer_at = float("-inf")
         while True:
             try:
@@ -240,6 +302,8 @@
                 continue
             if msg is None:
                 return
+            if not msg.sender:
+                msg.sender, msg.incarnation = sender, incarnation
             self._take(msg)
             now = self._clock.monotonic()
             if now >= answer_at:
@@ -254,3 +318,13 @@
             # A fault in one message must not end the stream or the process.
             self._metrics.counters["peer_messages_failed"] += 1
             logger.exception("a message of %r was not handled", msg.sender)
+
+
+def _stated_sender(stream: ServerStream) -> tuple[str, int]:
+    """Return sender and incarnation of a stream; empty and 0 when not stated."""
+    metadata = stream.metadata or {}
+    sender = str(metadata.get(SENDER_HEADER, ""))
+    number = str(metadata.get(INCARNATION_HEADER, ""))
+    if not (number.isascii() and number.isdigit() and int(number) < 2**64):
+        return "", 0
+    return sender, int(number)
--- a/tests/peering/test_grpc_link.py
+++ b/tests/peering/test_grpc_link.py
@@ -80,7 +80,8 @@
 def test_messages_arrive_and_bytes_are_counted():
     async def main():
         async with two_ends() as (first, second):
-            msg = PeerMessage(sender="i1", heartbeat=Heartbeat(number=3))
+            heartbeat = Heartbeat(number=3)
+            msg = PeerMessage(sender="i1", incarnation=1, heartbeat=heartbeat)
             await send_until(first.link, "i2", msg, lambda: second.received)
             assert second.received[0] == msg
             sent = first.metrics.counters["control_bytes_sent"]
@@ -121,10 +122,6 @@
 
 def test_malformed_messages_are_counted_and_dropped(monkeypatch):
     # Guards against bytes of a faulty peer that end the stream.
-    class JunkMessage:
-        def ByteSize(self):  # noqa: N802
-            return 4
-
     async def main():
         async with two_ends() as (first, second):
             good = PeerMessage(sender="good")
@@ -134,11 +131,11 @@
                 "grpclib.encoding.proto.ProtoCodec.encode",
                 lambda self, msg, kind: (
                     b"\xff\xff\xff\xff"
-                    if isinstance(msg, JunkMessage)
+                    if msg.forward_to == "junk"
                     else msg.SerializeToString()
                 ),
             )
-            first.link.send("i2", JunkMessage())
+            first.link.send("i2", PeerMessage(forward_to="junk"))
             second.received.clear()
             await send_until(first.link, "i2", good, lambda: second.received)
             assert counters["peer_messages_malformed"] == 1
@@ -182,3 +179,47 @@
             await send_until(first.link, "i2", msg, lambda: second.received)
 
     anyio.run(main)
+
+
+def test_restarts_and_delisting_of_a_peer_keep_the_link_serving():
+    """Guards against a cancellation inside the gRPC library that ends the link.
+
+    The library cancels its own task when a connection is lost. That cancellation
+    once ended the dialling tasks and the server of an instance without a trace.
+    """
+
+    async def main():
+        addresses = dict(zip(("i1", "i2", "i3"), free_addresses(3), strict=True))
+        first, third = End("i1", addresses), End("i3", addresses)
+        msg, back = PeerMessage(sender="i1"), PeerMessage(sender="i3")
+        with anyio.fail_after(2 * LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(first.link.run, first.on_message)
+                tasks.start_soon(third.link.run, third.on_message)
+                for version in range(2, 8):
+                    second = End("i2", addresses)
+                    async with anyio.create_task_group() as restarted:
+                        restarted.start_soon(second.link.run, second.on_message)
+                        await send_until(first.link, "i2", msg, lambda: second.received)  # noqa: B023
+                        if version % 2:
+                            kept = [
+                                InstanceEntry(
+                                    name, "a", addresses[name], addresses[name]
+                                )
+                                for name in ("i1", "i2", "i3")
+                                if name != "i2"
+                            ]
+                            first.membership.apply_list(kept, 2 * version)
+                        restarted.cancel_scope.cancel()
+                    entries = [
+                        InstanceEntry(name, "a", address, address)
+                        for name, address in addresses.items()
+                    ]
+                    first.membership.apply_list(entries, 2 * version + 1)
+                    first.received.clear()
+                    third.received.clear()
+                    await send_until(third.link, "i1", back, lambda: first.received)
+                    await send_until(first.link, "i3", msg, lambda: third.received)
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
