Keep new flows out of zones that a member still takes to be out

Cause: random histories with zone changes, planned stops and uneven updates showed a member with an older configuration that reset flows in a zone which was back in. Change: owners avoid a returned zone until every member reported a version with it; a member that is behind a peer drops packets to a zone that is out without a reset. Ruled out: waiting for a fixed time, since updates may take longer.

--- a/src/magnoliaslip/placement/decider.py
+++ b/src/magnoliaslip/placement/decider.py
@@ -59,6 +59,7 @@
         if (
             default != NO_SERVER
             and default not in exclude
+            and service.servers[default].zone not in service.avoid
             and (ignored or not service.evidence.blocks(default, now))
             and self._default_admits(service, bucket, default, now)
         ):
@@ -70,6 +71,11 @@
             number = self._least_loaded(service, sample, now, ignored, exclude)
         if number is None:
             number = self._least_loaded(service, numbers, now, ignored, exclude)
+        if number is None and service.avoid:
+            avoid: frozenset[str] = frozenset()
+            number = self._least_loaded(
+                service, numbers, now, ignored, exclude, avoid=avoid
+            )
         if number is None:
             return None
         return Choice(number, "retry" if exclude else "overflow")
@@ -85,14 +91,20 @@
         now: float,
         ignored: bool,
         exclude: Collection[int],
+        *,
+        avoid: frozenset[str] | None = None,
     ) -> int | None:
         """Return the least loaded server that admits a flow, else a warm one."""
         best, best_load = None, float("inf")
         full, full_load = None, float("inf")
         blocks = service.evidence.blocks
+        if avoid is None:
+            avoid = service.avoid
         for number in numbers:
             if number in exclude or (not ignored and blocks(number, now)):
                 continue
+            if avoid and service.servers[number].zone in avoid:
+                continue
             load, cold = self._relative_load(service, number, now)
             if load < 1.0 and load < best_load:
                 best, best_load = number, load
--- a/src/magnoliaslip/placement/epochs.py
+++ b/src/magnoliaslip/placement/epochs.py
@@ -231,6 +231,11 @@
         index = self.index_at(config_version)
         return index is not None and self.epochs[index].slices == self.current.slices
 
+    def out_at(self, config_version: int) -> frozenset[str]:
+        """Return the zones that were out with a version; none if it is unknown."""
+        index = self.index_at(config_version)
+        return frozenset() if index is None else self.epochs[index].out
+
     def index_at(self, version: int) -> int | None:
         """Return the index of the epoch of a version; None if it is unknown."""
         for index in range(len(self.epochs) - 1, -1, -1):
--- a/src/magnoliaslip/placement/forwarder.py
+++ b/src/magnoliaslip/placement/forwarder.py
@@ -103,7 +103,12 @@
     def give_up(self, packet: FlowPacket, service: Service, number: int) -> None:
         """End a flow whose availability zone is out."""
         self.drop(packet, "zone_out")
-        if packet.direction is Direction.REQUEST and not packet.flags & RST:
+        # With an older configuration than a peer's, the zone may be back in.
+        if (
+            packet.direction is Direction.REQUEST
+            and not packet.flags & RST
+            and not self._state.behind
+        ):
             self._reset_caller(packet)
         log_event(
             _logger,
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -439,9 +439,9 @@
     def _update_references(self) -> None:
         state = self._state
         versions = set(self._exchange.reported.values())
+        own = state.snapshot.version
+        state.behind = any(version > own for version, _ in versions)
         for service in state.services:
-            if service.epochs.epochs and service.take_versions(
-                versions, state.snapshot.version
-            ):
+            if service.epochs.epochs and service.take_versions(versions, own):
                 self._window.review(service)
                 state.epoch += 1
--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -24,9 +24,12 @@
         name: Name that routes refer to.
         pool: The pool in force; None when the service was removed.
         uniform: Whether every member has the same slices, as far as is known.
+        avoid: Zones that a member with an older version still takes to be out; it
+            would end the flows there.
     """
 
     __slots__ = (
+        "avoid",
         "epochs",
         "evidence",
         "index",
@@ -52,6 +55,7 @@
         self.name = name
         self.pool: Pool | None = None
         self.uniform = True
+        self.avoid: frozenset[str] = frozenset()
         self.servers = ServerRegistry(name)
         self.epochs = EpochHistory(
             self.servers, window=cfg.history_window, grace=cfg.direct_grace
@@ -106,6 +110,8 @@
             version <= own and self.epochs.same_slices(version)
             for version, _ in versions
         )
+        outs = [self.epochs.out_at(version) for version, _ in versions]
+        self.avoid = frozenset().union(*outs) - self.epochs.current.out
         return self.epochs.set_references(versions)
 
     def settled(self, bucket: int, now: float) -> bool:
--- a/src/magnoliaslip/placement/state.py
+++ b/src/magnoliaslip/placement/state.py
@@ -28,10 +28,12 @@
         routes: Services by service address and port in network order.
         moved: Former services of addresses whose route changed, with the
             monotonic time until which established flows belong to them.
+        behind: Whether a member of the view reported a newer configuration.
         stale_opens: Whether packets that were held in a suspect view are handled.
     """
 
     __slots__ = (
+        "behind",
         "certificates",
         "cfg",
         "clock",
@@ -95,6 +97,7 @@
         self.logs: dict[str, PeerLog] = {}
         self.leaving = False
         self.suspect = False
+        self.behind = False
         self.stale_opens = False
 
     @property
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -135,3 +135,36 @@
     say_everywhere(fleet, key)
     assert fleet.owner(key) != owner
     assert len(set(fleet.answered_by(key))) == 1 and not fleet.was_reset(key)
+
+
+def test_returned_zone_is_used_once_every_member_has_it_back():
+    # Guards against new flows in a zone that a member with an older configuration
+    # still takes to be out, and would reset.
+    fleet = Fleet(5)
+    owner = fleet.owner(flow(1))
+    zone = next(
+        fleet.zone(n) for n in fleet.nodes if fleet.zone(n) != fleet.zone(owner)
+    )
+    fleet.publish(zones_out=[zone])
+    fleet.run(2.0)
+    late = next(name for name in fleet.nodes if name != owner)
+    told = [name for name in fleet.nodes if name != late]
+    fleet.publish(to=told)
+    fleet.run(1.0)
+    fleet.handed.clear()
+    early = [flow(number) for number in range(1, 60)]
+    for key in early:
+        fleet.syn(key, via=told[0])
+        fleet.run(0.3)
+    assert all(fleet.zone(n) != zone for key in early for n in fleet.servers_of(key))
+    fleet.apply_history([late])
+    fleet.run(1.0)
+    for number in range(100, 160):
+        fleet.syn(flow(number))
+        fleet.run(0.5)
+    assert any(
+        fleet.zone(n) == zone for key in fleet.handed for n in fleet.servers_of(key)
+    )
+    for key in early:
+        say_everywhere(fleet, key)
+        assert len(set(fleet.answered_by(key))) == 1 and not fleet.was_reset(key)
