Spread the exceptions of a new base and take over stated uptimes

Cause: when an epoch leaves the window, 300,000 records were looked at within 6.4 s, and their exceptions were sent in that time; nothing took over the uptime that health endpoints state. Change: the rows are spread over 0.6 of the grace of direct forwarding (36 s). FlowRouter.note_uptime starts the ramp of a server that just started.

--- a/src/magnoliaslip/placement/base_window.py
+++ b/src/magnoliaslip/placement/base_window.py
@@ -8,9 +8,10 @@
 from magnoliaslip.placement.service import CODE_SHIFT, Service, code_bucket
 from magnoliaslip.placement.state import PlacementState
 
-# 300,000 flows are looked at within 7 s, well within the grace of direct
-# forwarding, at a few milliseconds a tick.
-ROWS_PER_TICK = ROWS // 64
+TICKS_PER_SECOND = 10
+# All rows are looked at within this part of the grace of direct forwarding, which
+# spreads the new exceptions over the time that there is.
+GRACE_PART = 0.6
 CODES_PER_TICK = 50
 MAX_VERSIONS = 8_192
 
@@ -106,7 +107,9 @@
         if not self._advancing:
             return
         state = self._state
-        for row in range(self._row, min(ROWS, self._row + ROWS_PER_TICK)):
+        ticks = max(1, int(state.cfg.direct_grace * GRACE_PART * TICKS_PER_SECOND))
+        end = min(ROWS, self._row + -(-ROWS // ticks))
+        for row in range(self._row, end):
             for key, record in state.records.row(row):
                 due = self._advancing.get(record.service)
                 if due is None or record.flags & (
@@ -122,7 +125,7 @@
                     bucket, due, last
                 ) != record.server and state.owns(service, bucket):
                     self._keeper.add(key, key_hash, service, now)
-        self._row += ROWS_PER_TICK
+        self._row = end
         if self._row >= ROWS:
             for index, due in self._advancing.items():
                 state.services[index].epochs.advance_owner(due)
--- a/src/magnoliaslip/placement/certificates.py
+++ b/src/magnoliaslip/placement/certificates.py
@@ -149,6 +149,9 @@
             self._heard.pop(peer, None)
         for peer in [p for p, end in self.granted.items() if end <= now]:
             del self.granted[peer]
+            if peer not in self._required:
+                self._heard.pop(peer, None)
+                self._sent.pop(peer, None)
 
     def deadline(self) -> float:
         """Return until when every needed certificate holds; 0 if one is missing."""
--- a/src/magnoliaslip/placement/direct_paths.py
+++ b/src/magnoliaslip/placement/direct_paths.py
@@ -35,9 +35,12 @@
             state.now() >= self.deadline
             or state.certificates.is_dirty(code)
             or self._keeper.is_dirty(code)
-            or (state.moved and key[4:8] + key[10:12] in state.moved)
         ):
             return None
+        if state.moved:
+            moved = state.moved.get(key[4:8] + key[10:12])
+            if moved is not None and state.now() < moved[1]:
+                return None
         number = service.epochs.direct(bucket)
         return number if number < NOT_DIRECT else None
 
--- /dev/null
+++ b/src/magnoliaslip/placement/dispatcher.py
@@ -0,0 +1,126 @@
+"""Decides which part of the router handles a packet."""
+
+from magnoliaslip.core.links import Direction
+from magnoliaslip.packet.flow_key import RST, SYN
+from magnoliaslip.placement.bucket_table import NO_SERVER
+from magnoliaslip.placement.direct_paths import DirectPaths
+from magnoliaslip.placement.flow_packet import FlowPacket
+from magnoliaslip.placement.forwarder import Forwarder
+from magnoliaslip.placement.handover import Handover
+from magnoliaslip.placement.owner import Owner
+from magnoliaslip.placement.records import FlowFlag
+from magnoliaslip.placement.service import Service
+from magnoliaslip.placement.state import PlacementState
+
+
+class Dispatcher:
+    """Forwards a packet directly, decides as its owner, or relays it there.
+
+    Args:
+        state: State of the router.
+        forwarder: Sends packets on.
+        owner: Decides about flows of the slices owned here.
+        direct: Answers what may go without the owner.
+        handover: Is told of packets while the instance leaves.
+    """
+
+    __slots__ = ("_direct", "_forwarder", "_handover", "_owner", "_state")
+
+    def __init__(
+        self,
+        state: PlacementState,
+        forwarder: Forwarder,
+        owner: Owner,
+        direct: DirectPaths,
+        handover: Handover,
+    ) -> None:
+        self._state = state
+        self._forwarder = forwarder
+        self._owner = owner
+        self._direct = direct
+        self._handover = handover
+
+    def handle(self, packet: FlowPacket) -> None:
+        """Handle a packet of either direction."""
+        state = self._state
+        service = state.routes.get(packet.route_key)
+        if service is None:
+            self._forwarder.drop(packet, "no_route")
+            return
+        if state.policy == "stateless":
+            self._stateless(packet, service)
+            return
+        if state.leaving:
+            self._handover.last_packet = state.now()
+        if packet.direction is Direction.ANSWER:
+            self._answer(packet, service)
+        else:
+            self._request(packet, service)
+
+    def _stateless(self, packet: FlowPacket, service: Service) -> None:
+        if packet.direction is Direction.ANSWER:
+            self._forwarder.to_caller(packet)
+            return
+        number = service.epochs.default(packet.bucket)
+        if number == NO_SERVER:
+            self._forwarder.drop(packet, "no_backend_server")
+        else:
+            self._forwarder.to_server(packet, service, number, "default")
+
+    def _answer(self, packet: FlowPacket, service: Service) -> None:
+        if not packet.goes_through_owner:
+            self._forwarder.to_caller(packet)
+            return
+        if self._acts_as_owner(packet, service):
+            self._owner.answer(packet, service)
+        else:
+            self._to_owner(packet, service)
+
+    def _request(self, packet: FlowPacket, service: Service) -> None:
+        state = self._state
+        if self._acts_as_owner(packet, service):
+            self._owner.request(packet, service)
+            return
+        if not packet.goes_through_owner:
+            number = self._direct.server(packet.key, service, packet.bucket)
+            if number is not None:
+                self._forwarder.to_server(packet, service, number, "default")
+                return
+            record = state.records.get(packet.key, packet.hash)
+            if (
+                record is not None
+                and record.flags & FlowFlag.EXCEPTION
+                and self._state.policy != "owner"
+            ):
+                holder = state.services[record.service]
+                self._forwarder.to_server(packet, holder, record.server, "exception")
+                return
+        self._to_owner(packet, service)
+
+    def _acts_as_owner(self, packet: FlowPacket, service: Service) -> bool:
+        """Return whether this instance decides about the packet.
+
+        Besides the owner, that is the instance that placed a pending open, one that
+        an owner asks because it holds the exception, and a leaving one to which a
+        packet comes back because others do not know yet.
+        """
+        state = self._state
+        if state.owns(service, packet.bucket):
+            return True
+        if state.leaving and packet.hops >= 2:
+            return True
+        if not packet.flags & (SYN | RST):
+            return False
+        if state.opens.get(packet.key) is not None:
+            return True
+        if not packet.is_open or not packet.hops or self._state.policy == "owner":
+            return False
+        record = state.records.get(packet.key, packet.hash)
+        return record is not None and bool(record.flags & FlowFlag.EXCEPTION)
+
+    def _to_owner(self, packet: FlowPacket, service: Service) -> None:
+        owner = service.slices.owner(packet.bucket)
+        if owner is None:
+            self._forwarder.drop(packet, "not_a_member")
+        else:
+            self._forwarder.relay(packet, owner)
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Sequence
+from logging import getLogger
 from random import Random
 
 from xxhash import xxh3_64_intdigest
@@ -10,15 +11,17 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.errors import PacketError
+from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.group import GroupView
 from magnoliaslip.core.links import Direction, PacketLink, PeerLink
 from magnoliaslip.core.recorder import Recorder
-from magnoliaslip.packet.flow_key import RST, SYN, FlowKey
+from magnoliaslip.packet.flow_key import FlowKey
 from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
 from magnoliaslip.placement.base_window import BaseWindow
 from magnoliaslip.placement.bucket_table import BUCKET_MASK, NO_SERVER
 from magnoliaslip.placement.configuration import Configuration
 from magnoliaslip.placement.direct_paths import DirectPaths
+from magnoliaslip.placement.dispatcher import Dispatcher
 from magnoliaslip.placement.exceptions import ExceptionKeeper
 from magnoliaslip.placement.explanation import Explanation, explain
 from magnoliaslip.placement.flow_packet import FlowPacket
@@ -27,14 +30,14 @@
 from magnoliaslip.placement.load import WorkObserver
 from magnoliaslip.placement.owner import Owner
 from magnoliaslip.placement.peer_exchange import PeerExchange
-from magnoliaslip.placement.records import FlowFlag
-from magnoliaslip.placement.service import Service
 from magnoliaslip.placement.settings import PlacementConfig
 from magnoliaslip.placement.slices import owning_members
 from magnoliaslip.placement.state import POLICIES, PlacementState
 from magnoliaslip.placement.status import RouterStatus, server_statuses
 from magnoliaslip.placement.suspect_queue import SuspectQueue
 
+_logger = getLogger(__name__)
+
 
 class FlowRouter:
     """Chooses backend servers and forwards packets; synchronous.
@@ -93,6 +96,9 @@
         self._configuration = Configuration(state, self._keeper, self._window)
         self._owner = Owner(state, self._forwarder, self._keeper)
         self._direct = DirectPaths(state, self._keeper)
+        self._dispatcher = Dispatcher(
+            state, self._forwarder, self._owner, self._direct, self._handover
+        )
         self._queue = SuspectQueue()
 
     @property
@@ -152,18 +158,7 @@
         except PacketError:
             self._forwarder.drop(None, "malformed")
             return
-        service = state.routes.get(parsed.route_key)
-        if service is None:
-            self._forwarder.drop(parsed, "no_route")
-        elif self.policy == "stateless":
-            self._stateless(parsed, service)
-        else:
-            if state.leaving:
-                self._handover.last_packet = state.now()
-            if direction is Direction.ANSWER:
-                self._answer(parsed, service)
-            else:
-                self._request(parsed, service)
+        self._dispatcher.handle(parsed)
 
     def direct(self, key: FlowKey) -> Address | None:
         """Return where a mid-flow packet may be sent right now, without its owner.
@@ -301,6 +296,22 @@
             self._handover.begin_leaving(now)
             state.epoch += 1
 
+    def note_uptime(self, service: str, server: str, seconds: float) -> None:
+        """Take over how long a backend server has run, as its health states.
+
+        Args:
+            service: Name of the service.
+            server: Name of the backend server.
+            seconds: Its uptime; below the ramp the server is in slow start.
+        """
+        state = self._state
+        known = state.services_by_name.get(service)
+        number = known.servers.find(server) if known else None
+        if known is None or number is None or seconds >= state.cfg.slow_start:
+            return
+        if known.load.start_cold(number, state.now() - seconds):
+            log_event(_logger, Event.SERVER_COLD, service=service, server=server)
+
     def explain(self, key: FlowKey) -> Explanation:
         """Tell which server a mid-flow packet or a new flow gets, and why."""
         return explain(self._state, self._keeper, key)
@@ -356,74 +367,6 @@
             self._forwarder.drop(None, "suspect_queue_full")
         return True
 
-    def _stateless(self, packet: FlowPacket, service: Service) -> None:
-        if packet.direction is Direction.ANSWER:
-            self._forwarder.to_caller(packet)
-            return
-        number = service.epochs.default(packet.bucket)
-        if number == NO_SERVER:
-            self._forwarder.drop(packet, "no_backend_server")
-        else:
-            self._forwarder.to_server(packet, service, number, "default")
-
-    def _answer(self, packet: FlowPacket, service: Service) -> None:
-        if not packet.goes_through_owner:
-            self._forwarder.to_caller(packet)
-            return
-        if self._acts_as_owner(packet, service):
-            self._owner.answer(packet, service)
-        else:
-            self._to_owner(packet, service)
-
-    def _request(self, packet: FlowPacket, service: Service) -> None:
-        state = self._state
-        if self._acts_as_owner(packet, service):
-            self._owner.request(packet, service)
-            return
-        if not packet.goes_through_owner:
-            number = self._direct.server(packet.key, service, packet.bucket)
-            if number is not None:
-                self._forwarder.to_server(packet, service, number, "default")
-                return
-            record = state.records.get(packet.key, packet.hash)
-            if (
-                record is not None
-                and record.flags & FlowFlag.EXCEPTION
-                and self.policy != "owner"
-            ):
-                holder = state.services[record.service]
-                self._forwarder.to_server(packet, holder, record.server, "exception")
-                return
-        self._to_owner(packet, service)
-
-    def _acts_as_owner(self, packet: FlowPacket, service: Service) -> bool:
-        """Return whether this instance decides about the packet.
-
-        Besides the owner, that is the instance that placed a pending open, one that
-        an owner asks because it holds the exception, and a leaving one to which a
-        packet comes back because others do not know yet.
-        """
-        state = self._state
-        if state.owns(service, packet.bucket):
-            return True
-        if state.leaving and packet.hops >= 2:
-            return True
-        if not packet.flags & (SYN | RST):
-            return False
-        if state.opens.get(packet.key) is not None:
-            return True
-        if not packet.is_open or not packet.hops or self.policy == "owner":
-            return False
-        record = state.records.get(packet.key, packet.hash)
-        return record is not None and bool(record.flags & FlowFlag.EXCEPTION)
-
-    def _to_owner(self, packet: FlowPacket, service: Service) -> None:
-        owner = service.slices.owner(packet.bucket)
-        if owner is None:
-            self._forwarder.drop(packet, "not_a_member")
-        else:
-            self._forwarder.relay(packet, owner)
-
     def _update_slices(self, now: float) -> None:
         state = self._state
         members = [
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -168,3 +168,16 @@
     for key in early:
         say_everywhere(fleet, key)
         assert len(set(fleet.answered_by(key))) == 1 and not fleet.was_reset(key)
+
+
+def test_stated_uptime_shows_a_restart():
+    # Guards against full load on a server that restarted between two opens.
+    fleet = Fleet(1)
+    router = fleet.nodes["i1"].router
+    router.note_uptime("rota", "s1", 1.0)
+    router.note_uptime("rota", "s2", 31.0)
+    router.note_uptime("rota", "unknown", 1.0)
+    for number in range(40):
+        fleet.syn(flow(number))
+    assert len(fleet.servers["s1"].known) == 1
+    assert len(fleet.servers["s2"].known) >= 4
