Drop late refusals of flows that are established

Change: the owner drops a reset with ACK and sequence number 0 of an established flow; only refusals of a SYN have that number.

--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -175,6 +175,10 @@
             if packet.flags & ACK and packet.ack == expected:
                 self._refused(packet, pending, record, now)
                 return
+        if record is not None and record.isn and packet.flags & ACK and not packet.seq:
+            # A late refusal of an earlier SYN: only those have sequence number 0.
+            self._forwarder.drop(packet, "stale_reset")
+            return
         certain = record is not None and not record.flags & FlowFlag.GUESSED
         if not certain and not self.opener.decider.settled(service, packet.bucket, now):
             self._forwarder.drop(packet, "uncertain_reset")
--- a/tests/placement/test_router.py
+++ b/tests/placement/test_router.py
@@ -305,6 +305,21 @@
     ]
 
 
+def test_late_refusal_does_not_end_an_established_flow():
+    # Guards against an exception that is forgotten because the refusal of an
+    # earlier SYN came late.
+    fleet = Fleet(4)
+    key = flow(1)
+    fleet.open_exception(key)
+    fleet.run(0.5)
+    refusal = Segment(key, SYN, seq=100).reset_reply()
+    fleet.spray(refusal.encode(), Direction.ANSWER)
+    fleet.deliver()
+    fleet.run(12.0)
+    say_everywhere(fleet, key)
+    assert not fleet.was_reset(key) and len(set(fleet.answered_by(key))) == 1
+
+
 def test_reset_of_an_unknown_flow_passes_only_with_a_complete_view():
     # Guards against a connection that is cut although another instance knows its
     # server.
