Wait for every copy of a retried open, and ask the new owner about moved ones

Cause: random histories showed a replica that had missed the retry of an open and sent the flow to the refusing server, and copies of an open that its former owner took back although the new owner had opened the flow by its own copy. Change: the SYN of a retry waits until every replica has the change or a lease term has passed; a former owner leaves the copies of a moved open to the new owner.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -93,10 +93,24 @@
         return found
 
     def add(
-        self, key: bytes, key_hash: int, service: Service, now: float
+        self,
+        key: bytes,
+        key_hash: int,
+        service: Service,
+        now: float,
+        *,
+        replaces: bool = False,
     ) -> Barrier | None:
         """Make a recorded flow an exception and send it to the replicas.
 
+        Args:
+            key: Flow key.
+            key_hash: Its hash.
+            service: The service.
+            now: Monotonic time in seconds.
+            replaces: Replicas have copies that name another server; all of them
+                must have the new one.
+
         Returns:
             What an opening packet of the flow has to wait for; None for nothing.
         """
@@ -110,35 +124,49 @@
             flags = record.flags | FlowFlag.EXCEPTION
             state.records.put(key, key_hash, record._replace(flags=flags))
             self._mark(code, now)
-        dirty = self._waits(code, now)
+        dirty = list(self._waits(code, now))
         server = service.servers[record.server].name
         replicas = []
         for peer in self.replicas(service, bucket):
             log = state.logs.get(peer)
             if log is not None:
                 replicas.append((log, log.add_exception(service.name, key, server)))
+        if replaces:
+            lease_end = now + state.cfg.lease_term
+            dirty += [(log, op, lease_end) for log, op in replicas]
         for log, *_ in (*dirty, *replicas):
             if log is not None:
                 log.flush(now, urgent=True)
-        return Barrier(list(dirty), replicas, now) if dirty or replicas else None
+        return Barrier(dirty, replicas, now) if dirty or replicas else None
+
+    def remove(
+        self, key: bytes, key_hash: int, service: Service, now: float
+    ) -> Barrier | None:
+        """Remove an exception here and at the replicas; the record stays.
 
-    def remove(self, key: bytes, key_hash: int, service: Service, now: float) -> None:
-        """Remove an exception here and at the replicas; the record stays."""
+        Returns:
+            What an opening packet of the flow has to wait for, so that no replica
+            uses its copy; None for nothing.
+        """
         state = self._state
         record = state.records.get(key, key_hash)
         if record is None or not record.flags & FlowFlag.EXCEPTION:
-            return
+            return None
         flags = record.flags & ~FlowFlag.EXCEPTION
         state.records.put(key, key_hash, record._replace(flags=flags))
         bucket = code_bucket(key_hash)
         self._unmark(service.code(bucket), now)
+        waits: list[tuple[PeerLog | None, LogOp | None, float]] = []
         if state.owns(service, bucket):
+            lease_end = now + state.cfg.lease_term
             # Joining members may have got the exception with their first copy.
             joining = [m.id for m in state.view.members.values() if not m.state]
             for peer in dict.fromkeys((*self.replicas(service, bucket), *joining)):
                 log = state.logs.get(peer)
                 if log is not None:
-                    log.add_exception(service.name, key, "")
+                    op = log.add_exception(service.name, key, "")
+                    waits.append((log, op, lease_end))
+        return Barrier(waits, [], now) if waits else None
 
     def forget_record(
         self, key: bytes, key_hash: int, service: Service, now: float
@@ -206,12 +234,15 @@
         owner = state.owns(service, bucket)
         had = record is not None and bool(record.flags & FlowFlag.EXCEPTION)
         other = record is not None and service.servers[record.server].name != server
-        if removed and other:
+        if removed and (other or state.opens.get(key) is not None):
+            # The second case: the flow was opened by this copy meanwhile.
             return Applied.NOTHING
         if not server or removed:
             if self._unresolved.pop(key, None) is not None:
                 self._unmark(service.code(bucket), now)
-            if not had or owner:
+            # An owner follows its own records, but lets the former owner of the slice
+            # take back an open that no server has answered.
+            if record is None or not had or (owner and (not removed or record.isn)):
                 return Applied.NOTHING
             self.forget_record(key, key_hash, service, now)
             return Applied.CHANGED
--- a/src/magnoliaslip/placement/opener.py
+++ b/src/magnoliaslip/placement/opener.py
@@ -94,13 +94,11 @@
         for key, pending in list(state.opens.held.items()):
             if pending.barrier is None or pending.barrier.is_open(now):
                 del state.opens.held[key]
-                barrier, pending.barrier = pending.barrier, None
+                pending.barrier = None
                 service = state.services[pending.service]
                 if state.owns(service, pending.packet.bucket) or state.leaving:
                     self._send_open(pending, now)
                 else:
-                    if barrier is not None:
-                        barrier.cancel()
                     self._give_up_held(pending, service, now)
 
     def doubt_held(self) -> None:
@@ -228,14 +226,17 @@
         default = service.epochs.is_default(packet.bucket, choice.number)
         if default and state.policy != "replicated":
             if flags:
-                self._keeper.remove(key, key_hash, service, now)
-            pending.barrier = None
+                pending.barrier = self._keeper.remove(key, key_hash, service, now)
+                for log in state.logs.values():
+                    log.flush(now, urgent=True)
         else:
-            pending.barrier = self._keeper.add(key, key_hash, service, now)
-            if pending.barrier is not None and not pending.barrier.is_open(now):
-                state.opens.held[key] = pending
-                return
-            pending.barrier = None
+            pending.barrier = self._keeper.add(
+                key, key_hash, service, now, replaces=bool(flags)
+            )
+        if pending.barrier is not None and not pending.barrier.is_open(now):
+            state.opens.held[key] = pending
+            return
+        pending.barrier = None
         self._send_open(pending, now)
 
     def _send_open(self, pending: PendingOpen, now: float, *, reason: str = "") -> None:
@@ -249,12 +250,18 @@
     def _give_up_held(self, pending: PendingOpen, service: Service, now: float) -> None:
         """Drop an open of a slice that moved; the new owner gets the next SYN.
 
-        The SYN is not relayed, so that the replicas forget the exception first.
+        The new owner decides about the copies as well: it may have opened the flow by
+        its own copy already, and else removes all of them.
         """
-        packet = pending.packet
-        self._state.opens.remove(packet.key)
+        state, packet = self._state, pending.packet
+        state.opens.remove(packet.key)
         service.load.ended(pending.server, packet.key)
         self._keeper.forget_copy(packet.key, packet.hash, service, now)
+        owner = service.slices.owner(packet.bucket)
+        log = state.logs.get(owner) if owner else None
+        if log is not None:
+            name = service.servers[pending.server].name
+            log.add_exception(service.name, packet.key, name, removed=True)
         self._forwarder.drop(packet, "slice_moved")
 
 
--- a/src/magnoliaslip/placement/opens.py
+++ b/src/magnoliaslip/placement/opens.py
@@ -52,11 +52,6 @@
             or any(log.is_acked(op) for log, op in self._replicas)
         )
 
-    def cancel(self) -> None:
-        """Remove the exception at the replicas; its open was given up."""
-        for log, op in self._replicas:
-            log.add_exception(op.service, op.key, op.server, removed=True)
-
 
 class PendingOpen:
     """An open between its first packet and its SYN-ACK.
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -181,3 +181,50 @@
         fleet.syn(flow(number))
     assert len(fleet.servers["s1"].known) == 1
     assert len(fleet.servers["s2"].known) >= 4
+
+
+def test_retry_waits_until_no_replica_names_the_refusing_server():
+    # Guards against a replica that missed the retry and sends the flow's packets to
+    # the server that refused it.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    for server in fleet.servers.values():
+        server.mode = "refuse"
+    fleet.syn(key, via=owner)
+    fleet.run(2.0)
+    first = len(fleet.servers_of(key))
+    assert first > 2 and not fleet.established(key)
+    key = flow(2)
+    fleet = Fleet(5)
+    replica = fleet.nodes[owner].router._state.services[0].slices.holders(0).replicas[0]
+    default = fleet.default(key)
+    refusals = iter(["refuse", "refuse"])
+    for server in fleet.servers.values():
+        server.receive = _refuse_first(server, refusals)
+    lost = []
+
+    def lose(sender, to, item):
+        # The replica gets the first exception only.
+        if to != replica or not hasattr(item, "log") or not item.log.exceptions:
+            return False
+        lost.append(item)
+        return len(lost) > 1
+
+    fleet.lose = lose
+    fleet.syn(key, via=owner)
+    fleet.run(0.5)
+    assert default in fleet.servers_of(key) and len(fleet.servers_of(key)) == 2
+    fleet.run(2.0)
+    fleet.lose = lambda *_: False
+    assert fleet.established(key) and len(fleet.servers_of(key)) == 3
+
+
+def _refuse_first(server, refusals):
+    receive = server.receive
+
+    def wrapped(segment):
+        server.mode = next(refusals, "accept")
+        receive(segment)
+
+    return wrapped
