Take back the copies of a moved open at every member

Cause: copies of an open that its former owner gave up stayed at members that are no replicas of the new owner, and sent the flow elsewhere once it was placed again. Change: the owner that learns of it removes them at all members, once in 10 s.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -1,5 +1,6 @@
 """Exceptions held by this instance, as owner or replica, and its dirty buckets."""
 
+from collections import OrderedDict
 from collections.abc import Iterable
 from enum import Enum
 from typing import NamedTuple
@@ -21,6 +22,8 @@
 CLEAN_SECONDS = 10.0
 # Exceptions for servers that are not in the configuration here yet.
 MAX_UNRESOLVED = 4_096
+TAKE_BACK_SECONDS = 10.0
+MAX_TAKEN_BACK = 1_024
 
 
 class Applied(Enum):
@@ -52,6 +55,7 @@
         "_counts",
         "_pending",
         "_state",
+        "_taken_back",
         "_unresolved",
     )
 
@@ -62,6 +66,7 @@
         self._cleaning: dict[int, float] = {}
         self._pending: dict[int, list[tuple[PeerLog | None, LogOp | None, float]]] = {}
         self._unresolved: dict[bytes, _Unresolved] = {}
+        self._taken_back: OrderedDict[bytes, float] = OrderedDict()
 
     @property
     def codes(self) -> Iterable[int]:
@@ -234,6 +239,10 @@
         owner = state.owns(service, bucket)
         had = record is not None and bool(record.flags & FlowFlag.EXCEPTION)
         other = record is not None and service.servers[record.server].name != server
+        if removed and owner:
+            used = had and not other and record is not None and record.isn
+            if not used and state.opens.get(key) is None:
+                self._take_back(service, key, server, now)
         if removed and (other or state.opens.get(key) is not None):
             # The second case: the flow was opened by this copy meanwhile.
             return Applied.NOTHING
@@ -300,6 +309,21 @@
         for code in [c for c, waits in self._pending.items() if _is_over(waits, now)]:
             del self._pending[code]
 
+    def _take_back(self, service: Service, key: bytes, server: str, now: float) -> None:
+        """Remove the copies of an open that the former owner of its slice gave up.
+
+        They may be at members that are no replicas now. Two members that both take
+        themselves for the owner send this on once only.
+        """
+        sent = self._taken_back.get(key)
+        if sent is not None and now - sent < TAKE_BACK_SECONDS:
+            return
+        self._taken_back[key] = now
+        if len(self._taken_back) > MAX_TAKEN_BACK:
+            self._taken_back.popitem(last=False)
+        for log in self._state.logs.values():
+            log.add_exception(service.name, key, server, removed=True)
+
     def _is_firm(self, key: bytes, record: FlowRecord) -> bool:
         """Return whether an owner's own record outweighs one that it is sent."""
         if self._state.opens.get(key) is not None:
