Start a log anew for a peer that dropped its start

Cause: a member that another took out of its view for a moment kept sending its log from the middle. Change: a heartbeat that states no start makes the sender begin anew; exception operations that are not acknowledged stay in the log.

--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -132,7 +132,10 @@
             certificates.note_echo(peer, heartbeat.echo_number)
         log = state.logs.get(peer)
         if log is not None:
-            if log.overflowed or log.incarnation < incarnation:
+            # A peer that took this instance out of its view and back in has dropped
+            # what it applied, and waits for the log from its start.
+            lost = log.acked >= 0 and not heartbeat.log_applied_incarnation
+            if lost or log.overflowed or log.incarnation < incarnation:
                 self._restart(log, incarnation)
             elif (
                 heartbeat.log_applied_incarnation
--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -133,7 +133,7 @@
         self._next = first_sequence
         self._buckets: deque[LogOp] = deque()
         self._exceptions: deque[LogOp] = deque()
-        self._in_flight: deque[tuple[int, LogEntries]] = deque()
+        self._in_flight: deque[tuple[int, LogEntries, list[LogOp]]] = deque()
         self._reset = True
         self._overflowed = False
         self._last_sent = 0.0
@@ -183,12 +183,21 @@
     def restart(self, incarnation: int) -> None:
         """Start anew: the next message makes the peer forget what it holds.
 
-        Numbers go on rising, so that a repeated older message is recognized.
+        Numbers go on rising, so that a repeated older message is recognized. Exception
+        operations that are not acknowledged are sent again to the same incarnation,
+        since removals are not part of what the caller adds again.
         """
+        kept: list[LogOp] = []
+        if not self._overflowed and incarnation == self.incarnation:
+            sent = [op for *_, ops in self._in_flight for op in ops if op.key]
+            kept = [*sent, *self._exceptions]
         self._next = max(self._next, self.last_sequence + 1)
         self._buckets.clear()
         self._exceptions.clear()
         self._in_flight.clear()
+        for op in kept:
+            op.sequence = 0
+        self._exceptions.extend(kept)
         self.incarnation = incarnation
         self.acked = -1
         self._reset = True
@@ -226,7 +235,7 @@
         self.flush(now)
         if not self._in_flight or now < self._resend_at:
             return
-        for _, entries in self._in_flight:
+        for _, entries, _ in self._in_flight:
             self._send(self.peer, PeerMessage(log=entries))
         self._resend_seconds = min(MAX_RESEND_SECONDS, self._resend_seconds * 2)
         self._resend_at = now + self._resend_seconds
@@ -251,7 +260,7 @@
         self._reset = False
         if not self._in_flight:
             self._resend_at = now + self._resend_seconds
-        self._in_flight.append((self._next - 1, entries))
+        self._in_flight.append((self._next - 1, entries, ops))
         self._last_sent = now
         self._send(self.peer, PeerMessage(log=entries))
 
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -228,3 +228,24 @@
         receive(segment)
 
     return wrapped
+
+
+def test_log_starts_anew_for_a_peer_that_dropped_it():
+    # Guards against a log that is stuck, because a peer took its sender out of the
+    # view for a moment and has forgotten the start.
+    fleet = Fleet(5)
+    fleet.open_exception(flow(1))
+    fleet.run(1.0)
+    owner = fleet.owner(flow(2))
+    peer = next(name for name in fleet.nodes if name != owner)
+    fleet.set_view(at=[peer], unheard=[owner])
+    fleet.run(0.3)
+    fleet.set_view(at=[peer])
+    fleet.run(3.0)
+    assert fleet.nodes[owner].router._state.logs[peer].backlog == 0
+    assert fleet.nodes[peer].router.direct_deadline > fleet.clock.monotonic()
+    fleet.open_exception(flow(2))
+    fleet.run(0.3)
+    assert fleet.established(flow(2))
+    say_everywhere(fleet, flow(2))
+    assert len(set(fleet.answered_by(flow(2)))) == 1
