Follow the change of a copy at owners by old zones and with unknown servers

Change: only a flow whose SYN or SYN-ACK passed here outweighs what another member sends; an exception for an unknown server ends the copy for the former one. Both new tests fail without the change.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -261,6 +261,10 @@
                 if key not in self._unresolved:
                     self._mark(service.code(bucket), now)
                 self._unresolved[key] = _Unresolved(service_name, server)
+            if had and not owner:
+                # The copy names a former server; the owner knows the new one.
+                self.forget_copy(key, key_hash, service, now)
+                return Applied.CHANGED
             return Applied.NOTHING
         if self._unresolved.pop(key, None) is not None:
             self._unmark(service.code(bucket), now)
@@ -325,12 +329,12 @@
             log.add_exception(service.name, key, server, removed=True)
 
     def _is_firm(self, key: bytes, record: FlowRecord) -> bool:
-        """Return whether an owner's own record outweighs one that it is sent."""
-        if self._state.opens.get(key) is not None:
-            return True
-        return bool(record.flags & FlowFlag.ESTABLISHED) and not (
-            record.flags & FlowFlag.GUESSED
-        )
+        """Return whether an owner's own record outweighs one that it is sent.
+
+        True for a flow whose SYN or SYN-ACK passed here. Other records came from
+        members that may change them, also while views or zones differ.
+        """
+        return bool(record.isn) or self._state.opens.get(key) is not None
 
     def _mark(self, code: int, now: float) -> None:
         self._counts[code] = self._counts.get(code, 0) + 1
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -249,3 +249,50 @@
     assert fleet.established(flow(2))
     say_everywhere(fleet, flow(2))
     assert len(set(fleet.answered_by(flow(2)))) == 1
+
+
+def test_second_owner_by_an_old_configuration_takes_the_change_of_a_copy():
+    # Guards against a member that owns a slice by its old set of zones, keeps the
+    # first copy of an exception and passes it on after a retry elsewhere.
+    fleet = Fleet(7)
+    key = flow(1)
+    zone = fleet.zone(fleet.owner(key))
+    fleet.publish(zones_out=[zone])
+    late = fleet.owner(key)
+    fleet.publish(to=[name for name in fleet.nodes if name != late])
+    fleet.run(3.5)
+    owner = fleet.owner(key)
+    assert fleet.owner(key, at=late) == late != owner
+    refusals = iter(["refuse", "refuse"])
+    for server in fleet.servers.values():
+        server.receive = _refuse_first(server, refusals)
+    fleet.syn(key, via=owner)
+    fleet.run(2.0)
+    assert fleet.established(key) and len(fleet.servers_of(key)) == 3
+    say_everywhere(fleet, key)
+    assert fleet.answered_by(key) == fleet.answered_by(key)[:1] * 7
+
+
+def test_retry_on_an_unknown_server_ends_the_copy_of_the_first():
+    # Guards against a replica with an older configuration that goes on using the
+    # server which refused the flow.
+    fleet = Fleet(5, pool=make_pool(7, slots=1))
+    owner = fleet.owner(flow(1))
+    late = fleet.nodes[owner].router._state.services[0].slices.holders(0).replicas[0]
+    wider = make_pool(30, slots=1, version=2)
+    fleet.publish(wider, to=[name for name in fleet.nodes if name != late])
+    fleet.run(31.0)
+    plain = {name: server.receive for name, server in fleet.servers.items()}
+    keys = [flow(number) for number in range(1, 80)]
+    for key in keys:
+        refusals = iter(["refuse", "refuse"])
+        for name, server in fleet.servers.items():
+            server.receive = plain[name]
+            server.receive = _refuse_first(server, refusals)
+        fleet.syn(key, via=owner)
+        fleet.run(1.0)
+    for key in keys:
+        if fleet.established(key):
+            fleet.say(key, via=late)
+            assert not fleet.reset_after_open(key)
+            assert len(set(fleet.answered_by(key))) == 1
