Ask for exceptions again when an instance joins again

Cause: an instance that goes back to joining after a long pause found its join deadline passed, so it asked nobody and was ready at once. Change: the handover forgets deadline and replies while the instance is not joining.

--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -127,10 +127,15 @@
     def view_changed(self, view: GroupView, now: float) -> None:
         """Start asking for exceptions when this instance joins."""
         me = view.members.get(self._state.instance_id)
-        if me is not None and me.state is MemberState.JOINING:
-            if self._join_deadline is None:
-                self._join_deadline = now + JOIN_SECONDS
-            self._ask(now)
+        if me is None or me.state is not MemberState.JOINING:
+            # An instance that woke late joins again and asks anew.
+            self._join_deadline = None
+            self._replied.clear()
+            self._asked.clear()
+            return
+        if self._join_deadline is None:
+            self._join_deadline = now + JOIN_SECONDS
+        self._ask(now)
 
     def begin_leaving(self, now: float) -> None:
         """Start to send young flows to their new owners."""
