Let an instance join again after a long pause

Cause: a member that woke after others had dropped it took its slices back at once, without the exceptions that their owner of the meantime had made. Change: after a pause of 1.46 s or more a serving instance announces joining with its first heartbeat, and serving again when its view is confirmed and the router has the exceptions. No state record is written, because the checker takes joining for a start. Ruled out: keeping ownership and waiting for the logs of the others; their packets reach the instance before the logs do.

--- a/src/magnoliaslip/peering/node.py
+++ b/src/magnoliaslip/peering/node.py
@@ -17,7 +17,7 @@
 from magnoliaslip.core.recorder import Recorder
 from magnoliaslip.peering.dissemination import Dissemination
 from magnoliaslip.peering.forwarding import ForwardingLink
-from magnoliaslip.peering.membership import Membership
+from magnoliaslip.peering.membership import LIVE_S, Membership
 from magnoliaslip.peering.proto.peer_pb2 import Heartbeat, PeerMessage
 from magnoliaslip.peering.view_confirmation import ViewConfirmation
 
@@ -28,6 +28,9 @@
 PUSH_GAP_S = 0.02  # changes this close together share one extra heartbeat
 TICK_S = 0.1
 REJECTION_LOG_S = 10.0
+# Others drop a member 2 s after its last heartbeat, which it may have sent up to one
+# period before the pause.
+REJOIN_PAUSE_S = LIVE_S - HEARTBEAT_S - 2 * PUSH_GAP_S
 _STATES = frozenset(MemberState)
 
 logger = getLogger(__name__)
@@ -36,7 +39,9 @@
 class PeerNode:
     """Exchanges heartbeats with the group, keeps the view and the configuration.
 
-    The owner of the node changes the state of the instance with `set_state`.
+    The owner of the node changes the state of the instance with `set_state`. After a
+    pause in which the others may have placed its slices anew, the node itself goes
+    back from serving to joining until the router has the exceptions made meanwhile.
 
     Args:
         instance_id: Identifier of this instance.
@@ -48,8 +53,8 @@
         platform: The configuration service.
         store: The configuration in force and its history.
         router: Gets views, histories, heartbeats, messages and ticks.
-        recorder: Not used here: the store records versions, the owner of the node
-            records states.
+        recorder: Not used here: the store records versions, and the owner of the
+            node records states. Joining again is no new start, so it has no record.
         rng: Source of jitter and choice.
         metrics: Counters of the process.
         membership: With seeds and allowed networks of the settings; a plain one by
@@ -65,6 +70,7 @@
         "_metrics",
         "_push",
         "_rejection_logged_at",
+        "_rejoining",
         "_router",
         "_store",
         "_view",
@@ -115,7 +121,9 @@
             clock=clock,
             router=router,
             dissemination=self._dissemination,
+            on_pause=self._on_pause,
         )
+        self._rejoining = False
         self._heartbeat_number = 0
         self._push = anyio.Event()
         self._push.set()  # the first heartbeat goes out at once
@@ -149,9 +157,29 @@
 
     def set_state(self, state: MemberState) -> None:
         """Change the state of this instance and announce it at once."""
+        self._rejoining = False
         self.membership.set_state(state)
         self.refresh_view()
 
+    def _on_pause(self, seconds: float) -> None:
+        serving = self.membership.state is MemberState.SERVING
+        if seconds >= REJOIN_PAUSE_S and serving and self.membership.targets():
+            self._change_state(MemberState.JOINING)
+            self._rejoining = True
+
+    def _finish_rejoin(self) -> None:
+        if self.membership.state is not MemberState.JOINING:
+            self._rejoining = False  # the owner of the node has changed the state
+        elif not self._confirmation.suspect and self._router.exceptions_ready:
+            self._change_state(MemberState.SERVING)
+
+    def _change_state(self, state: MemberState) -> None:
+        self.set_state(state)
+        name = state.name.lower()
+        log_event(
+            logger, Event.INSTANCE_STATE, id=self.membership.instance_id, state=name
+        )
+
     async def _send_heartbeats(self) -> None:
         while True:
             with anyio.move_on_after(HEARTBEAT_S):
@@ -185,6 +213,8 @@
         while True:
             self.refresh_view()
             self._confirmation.check_silence()
+            if self._rejoining:
+                self._finish_rejoin()
             self._router.on_tick()
             await anyio.sleep(TICK_S)
 
--- a/src/magnoliaslip/peering/view_confirmation.py
+++ b/src/magnoliaslip/peering/view_confirmation.py
@@ -1,5 +1,6 @@
 """Suspicion of a view that may be old, and its confirmation."""
 
+from collections.abc import Callable
 from logging import getLogger
 from typing import TYPE_CHECKING
 
@@ -35,6 +36,7 @@
         clock: Source of monotonic time.
         router: Holds packets while its view is suspect.
         dissemination: Fetches what is newer.
+        on_pause: Called with the length of each pause in seconds.
     """
 
     __slots__ = (
@@ -43,6 +45,7 @@
         "_dissemination",
         "_last_tick",
         "_membership",
+        "_on_pause",
         "_router",
         "_silent_since",
         "_started_at",
@@ -56,11 +59,13 @@
         clock: Clock,
         router: "FlowRouter",
         dissemination: Dissemination,
+        on_pause: Callable[[float], None],
     ) -> None:
         self._membership = membership
         self._clock = clock
         self._router = router
         self._dissemination = dissemination
+        self._on_pause = on_pause
         self._asked = anyio.Event()
         self._started_at = self._last_tick = clock.monotonic()
         self._silent_since: float | None = None
@@ -78,6 +83,7 @@
             log_event(logger, Event.CLOCK_JUMPED, seconds=round(gap, 3))
             self._membership.skip_pause(gap)
             self._mark_suspect()
+            self._on_pause(gap)
         elif self._router.suspect and not self.suspect:
             self._mark_suspect()
 
