Add the comparison of the four designs

The report puts broken flows, second hops, control bytes, flow state, balance and the service of each second side by side.

Backend servers of the lab take a factor of the working time, so that few requests make a high load.

--- a/src/magnoliaslip/lab/backend.py
+++ b/src/magnoliaslip/lab/backend.py
@@ -93,6 +93,8 @@
         recorder: Receives the history records of a backend server.
         cold: Whether it starts cold.
         slot_cfg: Replaces the bounds that follow from ``server``.
+        work_factor: Multiplies the working times, so that few requests make a high
+            load.
     """
 
     def __init__(
@@ -107,6 +109,7 @@
         recorder: Recorder | None = None,
         cold: bool = False,
         slot_cfg: SlotConfig | None = None,
+        work_factor: float = 1.0,
     ) -> None:
         self.server = server
         self.service = service
@@ -124,6 +127,7 @@
         self._flows: dict[FlowKey, _Flow] = {}
         self._silent_flows: set[FlowKey] = set()
         self._deadlines: DeadlineQueue[_Timer] = DeadlineQueue()
+        self._work_factor = work_factor
         self._draining = False
         self._started_at = clock.monotonic()
         self._last_state: tuple[ServerState, int] | None = None
@@ -337,7 +341,7 @@
             return
         self._record_request(job, "start")
         work = WORK_S[job.request.kind] * self._rng.uniform(*WORK_SPREAD)
-        self._deadlines.set(_Timer("work", job), now + work)
+        self._deadlines.set(_Timer("work", job), now + work * self._work_factor)
 
     def _release(self) -> None:
         for job in self._slots.release(now=self._clock.monotonic()):
--- a/src/magnoliaslip/proof/__main__.py
+++ b/src/magnoliaslip/proof/__main__.py
@@ -9,6 +9,8 @@
 from msgspec.json import encode
 
 from magnoliaslip.proof.checker import Checker
+from magnoliaslip.proof.compare import render as render_compare
+from magnoliaslip.proof.compare import run_compare
 from magnoliaslip.proof.history import History
 from magnoliaslip.proof.matrix import (
     CellResult,
@@ -54,6 +56,18 @@
     leave(0 if all(result.passed for result in results) else EXIT_VIOLATION)
 
 
+@main.command()
+@click.option("--seed", default=1, help="Seed of both experiments.")
+@click.option("--jobs", default=DEFAULT_JOBS, help="Number of worker processes.")
+@click.option("--json", "as_json", is_flag=True, help="Print a JSON line per policy.")
+def compare(seed: int, jobs: int, as_json: bool) -> None:
+    """Run the same experiments with each of the four placement policies."""
+    results = run_compare(seed=seed, jobs=jobs)
+    lines = map(encode, results) if as_json else render_compare(results)
+    for line in lines:
+        click.echo(line)
+
+
 @main.command()
 @click.argument("files", nargs=-1, required=True, type=click.Path(exists=True))
 def check(files: tuple[str, ...]) -> None:
--- /dev/null
+++ b/src/magnoliaslip/proof/held_flow.py
@@ -0,0 +1,102 @@
+"""Memory of the flow state of one router, measured with tracemalloc."""
+
+from gc import collect
+from random import Random
+from tracemalloc import get_traced_memory, start, stop
+
+from magnoliaslip.config.snapshot import (
+    BackendServer,
+    HistoryEntry,
+    Pool,
+    Route,
+    Snapshot,
+)
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.core.group import GroupView, Member
+from magnoliaslip.core.links import Direction, PacketLink, PeerLink
+from magnoliaslip.core.recorder import NullRecorder
+from magnoliaslip.packet.flow_key import ACK, SYN, make_key
+from magnoliaslip.packet.segment import Segment
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.router import FlowRouter
+
+FLOWS = 50_000
+FLOW_GAP_S = 0.001
+SERVICE = Address("198.51.100.10", 443)
+OWN_ID = "i1"
+
+
+class _NoPackets(PacketLink):
+    __slots__ = ()
+
+    def send_to_server(self, server: Address, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def send_to_caller(self, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def relay(
+        self, instance_id: str, packet: bytes, *, direction: Direction, hops: int
+    ) -> None:
+        """Discard the packet."""
+
+
+class _NoPeers(PeerLink):
+    __slots__ = ()
+
+    def send(self, instance_id: str, msg: PeerMessage) -> None:
+        """Discard the message."""
+
+
+def bytes_per_record(policy: str, *, flows: int = FLOWS) -> float:
+    """Return the bytes that one router allocates for each flow that it holds.
+
+    The router owns every slice and sees the handshake of each flow.
+
+    Args:
+        policy: Placement policy of the router.
+        flows: Number of flows.
+    """
+    clock = ManualClock(start=1000.0)
+    router = FlowRouter(
+        OWN_ID,
+        clock=clock,
+        packets=_NoPackets(),
+        peers=_NoPeers(),
+        recorder=NullRecorder(),
+        rng=Random(1),
+        policy=policy,
+    )
+    servers = tuple(
+        BackendServer(f"s{n}", Address(f"127.2.0.{n}", 6080), "a", 4, 0)
+        for n in range(1, 8)
+    )
+    pools = {"kit-desk": Pool("kit-desk", 1, servers)}
+    routes = {SERVICE: Route(SERVICE, "kit-desk")}
+    router.apply_history([HistoryEntry(Snapshot(1, routes, pools), 0.0)])
+    router.apply_view(GroupView(1, {OWN_ID: Member(OWN_ID, "a")}))
+    clock.advance(60.0)
+    _open_flows(router, clock, 0, 1000)  # tables and caches that do not grow
+    collect()
+    start()
+    before = get_traced_memory()[0]
+    _open_flows(router, clock, 1000, flows)
+    collect()
+    after = get_traced_memory()[0]
+    stop()
+    return (after - before) / flows
+
+
+def _open_flows(router: FlowRouter, clock: ManualClock, first: int, count: int) -> None:
+    for number in range(first, first + count):
+        host = f"10.{number >> 16 & 255}.{number >> 8 & 255}.{number & 255}"
+        key = make_key(Address(host, 1024 + number % 60_000), SERVICE)
+        opening = Segment(key, SYN, seq=number)
+        router.handle_packet(opening.encode(), direction=Direction.REQUEST)
+        reverse = Segment(make_key(SERVICE, Address(host, 1024 + number % 60_000)), 0)
+        accepted = Segment(reverse.key, SYN | ACK, seq=number, ack=number + 1)
+        router.handle_packet(accepted.encode(), direction=Direction.ANSWER)
+        clock.advance(FLOW_GAP_S)
+        if number % 100 == 0:
+            router.on_tick()
--- a/src/magnoliaslip/proof/world.py
+++ b/src/magnoliaslip/proof/world.py
@@ -64,6 +64,7 @@
         load_from_s: When the load starts, in seconds.
         absent: Instances that do not start by themselves.
         spare: Server of the first service that is in no pool at the start.
+        work_factor: Multiplies the working times of the backend servers.
     """
 
     deployment: str = "karaganda"
@@ -74,6 +75,7 @@
     load_from_s: float = 2.0
     absent: frozenset[str] = frozenset()
     spare: str = ""
+    work_factor: float = 1.0
 
 
 class World:
@@ -204,6 +206,7 @@
             send=lambda packet: self.fabric.from_server(name, packet),
             recorder=self.recorder(name),
             cold=cold,
+            work_factor=self.cfg.work_factor,
         )
         host = self.servers[name] = ModelHost(self.loop, model)
         self.network.add(name, spec.zone)
