Do not take resets of guessed flows for a restart

An owner that gets a mid-flow packet of a flow without a record forwards it to the base default and records a guess. After a zone was taken out, the flows that were given up reached servers that never knew them; their resets marked every server of the pool as restarted. All servers were then in slow start, and most opens were refused for 30 s.

--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -180,7 +180,11 @@
             self._forwarder.drop(packet, "uncertain_reset")
             return
         if record is not None:
-            known = record.flags & (FlowFlag.ESTABLISHED | FlowFlag.ENDED)
+            # A guess may be wrong: after a zone is taken out, packets of its flows
+            # reach servers that never knew them.
+            known = record.flags & (
+                FlowFlag.ESTABLISHED | FlowFlag.ENDED | FlowFlag.GUESSED
+            )
             if not packet.flags & ACK and known == FlowFlag.ESTABLISHED:
                 holder = state.services[record.service]
                 if holder.evidence.note_unknown_reset(record.server, now):
