Read the uptime of backend servers from their health endpoints

Change: optional table key health; the owner of a slice reads its servers every 2 s; a newer start begins a slow start, at most once in 300 s; nothing ends one. The HTTP request of the platform client is shared. A lab server that starts warm states a long uptime. Ruled out: using the stated load, which lags; marking servers that do not answer.

--- a/src/magnoliaslip/config/http_platform.py
+++ b/src/magnoliaslip/config/http_platform.py
@@ -1,26 +1,12 @@
 """The platform over HTTP/1.1."""
 
-from collections.abc import Awaitable, Callable, Sequence
-from dataclasses import dataclass, field
+from collections.abc import Sequence
 from urllib.parse import quote
 
-from anyio import EndOfStream, connect_tcp, fail_after, sleep
-from anyio.abc import ByteStream
-from h11 import (
-    CLIENT,
-    NEED_DATA,
-    PAUSED,
-    Connection,
-    ConnectionClosed,
-    Data,
-    EndOfMessage,
-    InformationalResponse,
-    ProtocolError,
-    Request,
-    Response,
-)
-
-from magnoliaslip.config.decoding import MAX_VALUE_BYTES
+from anyio import connect_tcp, fail_after, sleep
+from h11 import ProtocolError
+
+from magnoliaslip.config.http_client import Connect, HttpAnswer, http_get
 from magnoliaslip.config.platform import Platform, PlatformValue
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
@@ -29,18 +15,6 @@
 READ_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 2.0  # a watch that is silent this long past its deadline is dead
 ABSENT_PAUSE_S = 1.0  # a watch of a key that does not exist is answered at once
-RECEIVE_BYTES = 65536
-# Larger values are cut off here; the check of tables refuses what is above the limit.
-MAX_BODY_BYTES = MAX_VALUE_BYTES + 1
-
-Connect = Callable[[str, int], Awaitable[ByteStream]]
-
-
-@dataclass(slots=True)
-class _Answer:
-    status: int
-    headers: dict[bytes, bytes]
-    body: bytearray = field(default_factory=bytearray)
 
 
 class HttpPlatform(Platform):
@@ -111,7 +85,7 @@
             await sleep(min(ABSENT_PAUSE_S, max(0.0, remaining)))
         return None if answer.status in (304, 404) else _value(key, answer)
 
-    async def _ask(self, target: str, *, deadline: float, share: bool) -> _Answer:
+    async def _ask(self, target: str, *, deadline: float, share: bool) -> HttpAnswer:
         """Ask the addresses in turn until one answers.
 
         Args:
@@ -141,48 +115,14 @@
             remedy="state the addresses of the platform in the settings",
         )
 
-    async def _exchange(self, address: Address, target: str) -> _Answer:
-        conn = Connection(CLIENT)
-        request = Request(
-            method="GET",
-            target=target,
-            headers=[
-                ("Host", str(address)),
-                ("Accept", "application/json"),
-                ("Connection", "close"),
-            ],
-        )
-        async with await self._connect(address.host, address.port) as stream:
-            await stream.send(conn.send(request) + conn.send(EndOfMessage()))
-            answer = await _receive(conn, stream)
+    async def _exchange(self, address: Address, target: str) -> HttpAnswer:
+        answer = await http_get(address, target, connect=self._connect)
         if answer.status not in (200, 304, 404):
             raise _error(address, f"{target} was answered with status {answer.status}")
         return answer
 
 
-async def _receive(conn: Connection, stream: ByteStream) -> _Answer:
-    answer = _Answer(0, {})
-    while True:
-        event = conn.next_event()
-        if event is NEED_DATA:
-            try:
-                conn.receive_data(await stream.receive(RECEIVE_BYTES))
-            except EndOfStream:
-                conn.receive_data(b"")
-        elif isinstance(event, Response):
-            answer = _Answer(event.status_code, dict(event.headers))
-        elif isinstance(event, Data):
-            answer.body += event.data
-            if len(answer.body) > MAX_BODY_BYTES:
-                del answer.body[MAX_BODY_BYTES:]
-                return answer
-        elif isinstance(event, (EndOfMessage, ConnectionClosed)) or event is PAUSED:
-            return answer
-        elif not isinstance(event, InformationalResponse):
-            raise ProtocolError(f"unexpected {type(event).__name__}")
-
-
-def _value(key: str, answer: _Answer) -> PlatformValue:
+def _value(key: str, answer: HttpAnswer) -> PlatformValue:
     index = answer.headers.get(b"x-index", b"")
     if answer.status != 200 or not index.isdigit():
         raise PlatformError(
--- a/src/magnoliaslip/config/snapshot.py
+++ b/src/magnoliaslip/config/snapshot.py
@@ -24,6 +24,7 @@
         slots: Requests that it works on at a time; 0 when not stated.
         connections: Open flows that it holds; 0 when not stated.
         drain: Whether it gets no new flows.
+        health: Where it answers ``GET /v1/health``; None when it does not.
     """
 
     name: str
@@ -32,6 +33,7 @@
     slots: int = 0
     connections: int = 0
     drain: bool = False
+    health: Address | None = None
 
 
 @dataclass(slots=True, frozen=True)
--- a/src/magnoliaslip/config/tables.py
+++ b/src/magnoliaslip/config/tables.py
@@ -80,6 +80,7 @@
     slots: Stated = 0
     connections: Stated = 0
     drain: bool = False
+    health: str | None = None
 
 
 class PoolLine(Struct, forbid_unknown_fields=True, frozen=True):
@@ -386,11 +387,25 @@
                 server.slots,
                 server.connections,
                 server.drain,
+                _health_address(server, server_place),
             )
         )
     return Pool(line.service, version, tuple(servers))
 
 
+def _health_address(line: ServerLine, place: str) -> Address | None:
+    if line.health is None:
+        return None
+    try:
+        return Address.parse(line.health)
+    except ValueError as exc:
+        raise BadAddressError(
+            str(exc),
+            place=f"{place}.health",
+            remedy="use ADDRESS:PORT, or remove the key",
+        ) from exc
+
+
 def _check_zones(table: Table, zones: Mapping[str, bool]) -> None:
     for n, pool in enumerate(table.pools):
         for m, server in enumerate(pool.servers):
--- /dev/null
+++ b/src/magnoliaslip/instance/health.py
@@ -0,0 +1,120 @@
+"""Reads the health endpoints of backend servers."""
+
+from abc import ABC, abstractmethod
+from logging import getLogger
+
+from anyio import create_task_group, fail_after, sleep
+from h11 import ProtocolError
+from msgspec import DecodeError, Struct, ValidationError
+from msgspec.json import decode
+
+from magnoliaslip.config.http_client import http_get
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.placement.health_intake import HealthIntake
+
+READ_PERIOD_S = 2.0
+READ_TIMEOUT_S = 1.0
+# An owner in a pool of thousands of servers reads them in turn.
+MAX_READS_PER_ROUND = 64
+HEALTH_TARGET = "/v1/health"
+MICROSECONDS = 1e6
+
+logger = getLogger(__name__)
+
+
+class HealthReport(Struct, frozen=True):
+    """The part of an answer that is used; other keys are ignored.
+
+    Attributes:
+        uptime_s: Seconds since the backend server started.
+    """
+
+    uptime_s: float
+
+
+class HealthSource(ABC):
+    """Reads one health endpoint."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    async def read(self, address: Address) -> HealthReport | None:
+        """Return the report of a backend server, None when it gives none in 1 s."""
+
+
+class HttpHealthSource(HealthSource):
+    """Reads ``GET /v1/health`` over HTTP/1.1."""
+
+    __slots__ = ()
+
+    async def read(self, address: Address) -> HealthReport | None:
+        """Return the report of a backend server, None when it gives none in 1 s."""
+        try:
+            with fail_after(READ_TIMEOUT_S):
+                answer = await http_get(address, HEALTH_TARGET)
+            if answer.status != 200:
+                return None
+            return decode(answer.body, type=HealthReport)
+        except (OSError, TimeoutError, ProtocolError, DecodeError, ValidationError):
+            return None
+
+
+class HealthMonitor:
+    """Reads the endpoints of the servers whose slices this instance owns.
+
+    An endpoint that does not answer has no effect: refused and unanswered opens say
+    more about a server than a silent endpoint.
+
+    Args:
+        intake: Tells which endpoints to read and takes the reports.
+        source: Reads one endpoint.
+        clock: Source of monotonic time.
+        metrics: Receives the durations and the number of silent endpoints.
+    """
+
+    __slots__ = ("_clock", "_intake", "_metrics", "_next", "_source")
+
+    def __init__(
+        self,
+        intake: HealthIntake,
+        *,
+        source: HealthSource,
+        clock: Clock,
+        metrics: Metrics,
+    ) -> None:
+        self._intake = intake
+        self._source = source
+        self._clock = clock
+        self._metrics = metrics
+        self._next = 0
+
+    async def run(self) -> None:
+        """Read in rounds until cancelled."""
+        while True:
+            await self._read_round()
+            await sleep(READ_PERIOD_S)
+
+    async def _read_round(self) -> None:
+        watched = self._intake.watched()
+        if len(watched) > MAX_READS_PER_ROUND:
+            first = self._next % len(watched)
+            self._next = first + MAX_READS_PER_ROUND
+            watched = (watched[first:] + watched[:first])[:MAX_READS_PER_ROUND]
+        async with create_task_group() as tasks:
+            for service, server in watched:
+                if server.health is not None:
+                    tasks.start_soon(
+                        self._read_server, service, server.name, server.health
+                    )
+
+    async def _read_server(self, service: str, server: str, address: Address) -> None:
+        started = self._clock.monotonic()
+        report = await self._source.read(address)
+        if report is None:
+            self._metrics.counters["health_unanswered"] += 1
+            return
+        duration = self._clock.monotonic() - started
+        self._metrics.observe_us("health_read", duration * MICROSECONDS)
+        self._intake.note_uptime(service, server, report.uptime_s)
--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -19,6 +19,7 @@
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.core.recorder import NullRecorder, Recorder
 from magnoliaslip.dataplane.path import DataPath
+from magnoliaslip.instance.health import HealthMonitor, HealthSource
 from magnoliaslip.packet.tunnel import GUE_RELAY_FIRST_BYTE
 from magnoliaslip.peering.forwarding import ForwardingLink
 from magnoliaslip.peering.membership import Membership
@@ -47,6 +48,7 @@
         rng: Source of jitter.
         metrics: Receives counters and histograms.
         membership: Members of the group; made from the settings by default.
+        health: Reads health endpoints; they stay unread when None.
         policy: Placement policy, see `FlowRouter`.
     """
 
@@ -64,6 +66,7 @@
         rng: Random | None = None,
         metrics: Metrics | None = None,
         membership: Membership | None = None,
+        health: HealthSource | None = None,
         policy: str = "exceptions",
     ) -> None:
         self.cfg = cfg
@@ -121,6 +124,9 @@
             metrics=self.metrics,
             membership=self.membership,
         )
+        self._health = health and HealthMonitor(
+            self.router.health, source=health, clock=clock, metrics=self.metrics
+        )
         self.store.subscribe(self._apply_history)
 
     async def run(self) -> None:
@@ -128,6 +134,8 @@
         async with create_task_group() as tasks:
             tasks.start_soon(self.peering.run)
             tasks.start_soon(self._note_ticks)
+            if self._health is not None:
+                tasks.start_soon(self._health.run)
             await self._join()
             await self._stop.wait()
             await self._leave()
--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -21,6 +21,7 @@
 from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
 from magnoliaslip.dataplane.udp_link import UdpPacketLink
 from magnoliaslip.instance.admin import AdminService
+from magnoliaslip.instance.health import HttpHealthSource
 from magnoliaslip.instance.node import InstanceNode
 from magnoliaslip.peering.grpc_link import GrpcPeerLink
 from magnoliaslip.peering.membership import Membership
@@ -81,6 +82,7 @@
             rng=SystemRandom(),
             metrics=metrics,
             membership=membership,
+            health=HttpHealthSource(),
         )
 
         def handle_relay(payload: bytes, source: Address) -> None:
--- a/src/magnoliaslip/lab/backend.py
+++ b/src/magnoliaslip/lab/backend.py
@@ -30,6 +30,7 @@
 from magnoliaslip.packet.segment import Segment
 
 REPORT_INTERVAL_S = 1.0
+WARM_UPTIME_S = 3600.0  # of a server that was warm before the lab started it
 SLOTS_NOT_STATED = 4
 CONNECTIONS_NOT_STATED = 2000
 WORK_SPREAD = (0.5, 1.5)  # of the mean
@@ -225,7 +226,8 @@
 
     def _begin(self, *, cold: bool) -> None:
         now = self._clock.monotonic()
-        self._started_at = now
+        # A server that starts warm stands for one that has run for long.
+        self._started_at = now if cold else now - WARM_UPTIME_S
         self._slots.restart(cold_since=now if cold else None)
         self._last_state = None
         self._note_state()
--- a/src/magnoliaslip/lab/deployment.py
+++ b/src/magnoliaslip/lab/deployment.py
@@ -194,7 +194,8 @@
 
 
 def _server_line(server: BackendServer) -> dict[str, object]:
-    return {
+    health = {} if server.health is None else {"health": str(server.health)}
+    return health | {
         "name": server.name,
         "address": server.address.host,
         "port": server.address.port,
--- a/src/magnoliaslip/lab/site.py
+++ b/src/magnoliaslip/lab/site.py
@@ -103,9 +103,7 @@
             deployment,
             {
                 service.name: [
-                    BackendServer(
-                        name, self._ports.pick(), zone, deployment.slots, CONNECTIONS
-                    )
+                    self._new_server(name, zone)
                     for name, zone in deployment.servers(service)
                 ]
                 for service in deployment.services
@@ -308,11 +306,23 @@
         ]
         return await self._start("platform", "platform", *listeners)
 
+    def _new_server(self, name: str, zone: str) -> BackendServer:
+        """Return a line of a pool; the fabric carries packets to its real port."""
+        self.servers[name] = tunnel = self._ports.pick()
+        return BackendServer(
+            name,
+            self._ports.pick(),
+            zone,
+            self.deployment.slots,
+            CONNECTIONS,
+            health=tunnel,
+        )
+
     async def _start_backends(self) -> list[Child]:
         children = []
         for service in self.deployment.services:
             for server in self.tables.servers[service.name]:
-                address = self.servers[server.name] = self._ports.pick()
+                address = self.servers[server.name]
                 args = ("--name", server.name, "--service", service.name)
                 args += ("--zone", server.zone, "--listen", str(address))
                 args += ("--address", str(service.address))
--- /dev/null
+++ b/src/magnoliaslip/placement/health.py
@@ -0,0 +1,63 @@
+"""Restarts of backend servers as their health endpoints state them."""
+
+# Uptimes are rounded and travel; starts closer together than this are the same one.
+SAME_START_S = 2.0
+# An endpoint that states a new start with every answer can hold its server in slow
+# start no longer than one ramp in this time.
+RESTART_INTERVAL_S = 300.0
+
+
+class HealthBook:
+    """Decides which reported uptimes of one service's servers show a restart.
+
+    Health endpoints lag and mislead. A report can therefore only start a slow start,
+    once per restart; it never ends one, and it moves no established flow.
+
+    Args:
+        slow_start: Length of the ramp of a cold server in seconds.
+
+    >>> book = HealthBook(slow_start=30.0)
+    >>> book.note_uptime(0, uptime=500.0, now=1000.0) is None
+    True
+    >>> book.note_uptime(0, uptime=2.0, now=1010.0)
+    1008.0
+    >>> book.note_uptime(0, uptime=3.0, now=1011.0) is None
+    True
+    """
+
+    __slots__ = ("_counted_at", "_slow_start", "_started")
+
+    def __init__(self, *, slow_start: float) -> None:
+        self._slow_start = slow_start
+        self._started: dict[int, float] = {}
+        self._counted_at: dict[int, float] = {}
+
+    def note_uptime(self, number: int, *, uptime: float, now: float) -> float | None:
+        """Take over a reported uptime.
+
+        Args:
+            number: The server.
+            uptime: Seconds since its start, as reported.
+            now: Monotonic time in seconds.
+
+        Returns:
+            The monotonic time of a restart that is new and recent enough for a slow
+            start, else None.
+        """
+        started = now - uptime
+        known = self._started.get(number)
+        if known is not None and started <= known + SAME_START_S:
+            return None
+        self._started[number] = started
+        if uptime >= self._slow_start:
+            return None
+        counted_at = self._counted_at.get(number)
+        if counted_at is not None and now - counted_at < RESTART_INTERVAL_S:
+            return None
+        self._counted_at[number] = now
+        return started
+
+    def forget(self, number: int) -> None:
+        """Drop everything about a server that left the pool."""
+        self._started.pop(number, None)
+        self._counted_at.pop(number, None)
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -24,6 +24,7 @@
 from magnoliaslip.placement.flow_packet import FlowPacket
 from magnoliaslip.placement.forwarder import Forwarder
 from magnoliaslip.placement.handover import Handover
+from magnoliaslip.placement.health_intake import HealthIntake
 from magnoliaslip.placement.load import WorkObserver
 from magnoliaslip.placement.owner import Owner
 from magnoliaslip.placement.peer_exchange import PeerExchange
@@ -94,6 +95,7 @@
         self._owner = Owner(state, self._forwarder, self._keeper)
         self._direct = DirectPaths(state, self._keeper)
         self._queue = SuspectQueue()
+        self.health = HealthIntake(state)
 
     @property
     def epoch(self) -> int:
--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -8,6 +8,7 @@
 from magnoliaslip.placement.bucket_table import BUCKET_MASK
 from magnoliaslip.placement.epochs import EpochHistory
 from magnoliaslip.placement.evidence import Evidence
+from magnoliaslip.placement.health import HealthBook
 from magnoliaslip.placement.load import LoadBook, WorkObserver
 from magnoliaslip.placement.servers import ServerRegistry
 from magnoliaslip.placement.settings import PlacementConfig
@@ -29,6 +30,7 @@
     __slots__ = (
         "epochs",
         "evidence",
+        "health",
         "index",
         "load",
         "name",
@@ -59,6 +61,7 @@
         self.slices = SliceMap(name, instance_id)
         self.load = LoadBook(name, slow_start=cfg.slow_start, observer=observer)
         self.evidence = Evidence(rng)
+        self.health = HealthBook(slow_start=cfg.slow_start)
 
     def apply(
         self, version: int, since: float, pool: Pool | None, zones_out: frozenset[str]
@@ -82,6 +85,7 @@
         for number in former - now_in:
             self.load.forget(number)
             self.evidence.forget(number)
+            self.health.forget(number)
         return sorted(now_in - former)
 
     def apply_members(
--- a/tests/config/test_http_platform.py
+++ b/tests/config/test_http_platform.py
@@ -8,7 +8,8 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from magnoliaslip.config.http_platform import MAX_BODY_BYTES, HttpPlatform
+from magnoliaslip.config.http_client import MAX_BODY_BYTES
+from magnoliaslip.config.http_platform import HttpPlatform
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import ManualClock
 from magnoliaslip.core.errors import PlatformError
--- /dev/null
+++ b/tests/instance/test_health.py
@@ -0,0 +1,74 @@
+"""HealthMonitor with scripted endpoints in virtual time."""
+
+import anyio
+
+from magnoliaslip.config.snapshot import BackendServer
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.metrics import Metrics
+from magnoliaslip.instance.health import (
+    MAX_READS_PER_ROUND,
+    READ_PERIOD_S,
+    HealthMonitor,
+    HealthReport,
+    HealthSource,
+)
+from magnoliaslip.proof.virtual_loop import VirtualClock, VirtualEventLoop
+
+ADDRESS = Address("127.0.0.1", 6080)
+
+
+class ScriptedIntake:
+    def __init__(self, count):
+        self.servers = [
+            ("rota", BackendServer(f"r-{n}", ADDRESS, "a", health=ADDRESS))
+            for n in range(count)
+        ]
+        self.noted = []
+
+    def watched(self):
+        return self.servers
+
+    def note_uptime(self, service, server, uptime):
+        self.noted.append((service, server, uptime))
+
+
+class ScriptedSource(HealthSource):
+    def __init__(self, report):
+        self.report = report
+
+    async def read(self, address):
+        await anyio.sleep(0.01)
+        return self.report
+
+
+def run_monitor(intake, report, *, rounds):
+    metrics = Metrics()
+
+    async def main():
+        monitor = HealthMonitor(
+            intake,
+            source=ScriptedSource(report),
+            clock=VirtualClock(),
+            metrics=metrics,
+        )
+        with anyio.move_on_after(rounds * (READ_PERIOD_S + 0.01) - 1):
+            await monitor.run()
+
+    anyio.run(main, backend_options={"loop_factory": VirtualEventLoop})
+    return metrics
+
+
+def test_large_pools_are_read_in_turn():
+    """Guards against servers of a large pool whose endpoint is never read."""
+    intake = ScriptedIntake(2 * MAX_READS_PER_ROUND)
+    run_monitor(intake, HealthReport(5.0), rounds=2)
+    assert len(intake.noted) == 2 * MAX_READS_PER_ROUND
+    assert len({server for _, server, _ in intake.noted}) == len(intake.noted)
+
+
+def test_a_silent_endpoint_has_no_effect():
+    """Guards against a broken endpoint that puts its server into slow start."""
+    intake = ScriptedIntake(1)
+    metrics = run_monitor(intake, None, rounds=3)
+    assert not intake.noted
+    assert metrics.counters["health_unanswered"] == 3
