Run the bench by sections and let packet kinds take turns

Kinds also ran one after another, so that a change of the machine's speed met only some, and the first, uncached packets counted as established.

Tick between rounds, let the kinds take turns round by round, warm the flows up, let sequence numbers rise, and add the packet of an uncertain bucket at an instance that is not the owner. Add `python -m magnoliaslip.bench` with sections for the default choice and for resident memory at start, each import in a fresh interpreter.

--- /dev/null
+++ b/src/magnoliaslip/bench/child.py
@@ -0,0 +1,72 @@
+"""Runs one measurement in a fresh interpreter."""
+
+from subprocess import run
+from sys import executable
+from typing import Any
+
+from msgspec.json import decode, encode
+
+CHILD_TIMEOUT_S = 120.0
+_CODE = """
+from importlib import import_module
+from json import dumps, loads
+from sys import argv
+function = getattr(import_module(argv[1]), argv[2])
+print(dumps(function(*loads(argv[3]))))
+"""
+_READ_RESIDENT = """
+def resident():
+    with open("/proc/self/statm", "rb") as file:
+        return int(file.read().split()[1]) * 4096
+"""
+_IMPORT_CODE = (
+    _READ_RESIDENT
+    + """
+from sys import argv
+from time import process_time
+before, started = resident(), process_time()
+for name in argv[1].split(","):
+    __import__(name)
+print([before, resident(), process_time() - started])
+"""
+)
+
+
+def call_in_child(module: str, function: str, *args: Any) -> Any:
+    """Return what a function returns in a fresh interpreter.
+
+    Args:
+        module: Absolute name of the module.
+        function: Function of the module; its result must be plain JSON.
+        args: Plain JSON arguments.
+
+    Raises:
+        CalledProcessError: The function raised.
+
+    >>> call_in_child("math", "sqrt", 4)
+    2.0
+    """
+    return _run(_CODE, module, function, encode(args).decode())
+
+
+def import_in_child(modules: str) -> tuple[int, int, float]:
+    """Import modules in a fresh interpreter.
+
+    Args:
+        modules: Names with commas between them.
+
+    Returns:
+        Resident bytes before and after, and the CPU seconds of the imports.
+    """
+    before, after, seconds = _run(_IMPORT_CODE, modules)
+    return before, after, seconds
+
+
+def _run(code: str, *args: str) -> Any:
+    done = run(
+        [executable, "-c", code, *args],
+        check=True,
+        capture_output=True,
+        timeout=CHILD_TIMEOUT_S,
+    )
+    return decode(done.stdout)
--- a/src/magnoliaslip/bench/datapath.py
+++ b/src/magnoliaslip/bench/datapath.py
@@ -1,8 +1,9 @@
 """Packets per CPU second through the data path against a bare UDP relay.
 
-Both sides use the same socket calls: batched ``recv`` and one ``sendto`` a packet.
+All kinds use the same socket calls: batched ``recv`` and one ``sendto`` a packet.
 A batch of datagrams waits in the receive buffer before each timed part, so that only
-the receiving side's processor time is counted.
+the receiving side's processor time is counted. The kinds take turns, round by round,
+so that a change of the machine's speed meets all of them.
 """
 
 from collections.abc import Callable
@@ -22,127 +23,154 @@
 from magnoliaslip.packet.flow_key import ACK, PSH, SYN, make_key
 from magnoliaslip.packet.segment import Segment
 from magnoliaslip.packet.tunnel import Relay
+from magnoliaslip.placement.router import FlowRouter
 
 LOOPBACK = "127.0.0.1"
 SERVICE = Address("198.51.100.10", 443)
-ROUND_PACKETS = 1024
-ROUNDS = 40
-REPETITIONS = 7
+ROUNDS = 16
+REPETITIONS = 9
 FLOWS = 512
 PAYLOAD = b"p" * 200
+BARE = "bare_relay"
+
+Handler = Callable[[list[bytes]], None]
 
 
 class DatagramSource:
-    """Fills a receive buffer before a timed part drains it."""
+    """Fills a receive buffer and times how it is drained.
+
+    Args:
+        sender: Socket to send from.
+        inlet: Socket to drain.
+    """
 
-    __slots__ = ("_sock", "_target")
+    __slots__ = ("_inlet", "_sender", "_target")
 
-    def __init__(self, sock: Socket, target: Address) -> None:
-        self._sock = sock
-        self._target = target
+    def __init__(self, sender: Socket, inlet: Socket) -> None:
+        self._sender = sender
+        self._inlet = inlet
+        self._target = Address(*inlet.getsockname())
 
-    def fill(self, datagrams: list[bytes]) -> None:
-        """Send all datagrams to the target."""
+    def time(self, datagrams: list[bytes], handle: Handler) -> float:
+        """Return the CPU seconds that it takes to handle all datagrams."""
         for datagram in datagrams:
-            self._sock.sendto(datagram, self._target)
+            self._sender.sendto(datagram, self._target)
+        started = process_time()
+        while batch := receive_batch(self._inlet):
+            handle(batch)
+        return process_time() - started
 
 
-def _drain(sock: Socket, handle: Callable[[list[bytes]], None]) -> float:
-    """Return the CPU seconds that it takes to handle all waiting datagrams."""
-    started = process_time()
-    while batch := receive_batch(sock):
-        handle(batch)
-    return process_time() - started
+class Bed:
+    """The sockets of a measurement, and instances behind them."""
 
+    def __init__(self, stack: ExitStack) -> None:
+        sockets = [
+            stack.enter_context(open_udp(Address(LOOPBACK, 0))) for _ in range(4)
+        ]
+        inlet, self.outlet, sink, sender = sockets
+        self.sink_address = Address(*sink.getsockname())
+        self.source = DatagramSource(sender, inlet)
+        self.clock = SystemClock()
+        self.metrics = Metrics()
+
+    def path(self, *, owner: bool = True) -> tuple[DataPath, FlowRouter]:
+        """Build an instance that owns every slice, or one that owns none."""
+        sink = self.sink_address
+        link = UdpPacketLink(
+            self.outlet,
+            self.outlet,
+            egress=sink,
+            control_address=lambda _: sink,
+            metrics=self.metrics,
+        )
+        router = build_router(
+            self.clock, link, service=SERVICE, server=sink, owner=owner
+        )
+        path = DataPath(
+            router,
+            clock=self.clock,
+            metrics=self.metrics,
+            send=link.send,
+            egress=sink,
+        )
+        path.apply_snapshot(one_service(SERVICE, sink))
+        return path, router
 
-def _rate(
-    source: DatagramSource,
-    sock: Socket,
-    rounds: list[list[bytes]],
-    handle: Callable[[list[bytes]], None],
-) -> float:
-    seconds = 0.0
-    count = 0
-    for datagrams in rounds:
-        source.fill(datagrams)
-        seconds += _drain(sock, handle)
-        count += len(datagrams)
-    return count / seconds
+    def bare_relay(self, batch: list[bytes]) -> None:
+        """Send each datagram on without a look at it."""
+        send, sink = self.outlet.sendto, self.sink_address
+        for datagram in batch:
+            send(datagram, sink)
 
 
-def _packets(flags: int, first_caller_port: int, count: int) -> list[bytes]:
+def _packets(flags: int, round_number: int, first_port: int = 1024) -> list[bytes]:
     return [
         Segment(
-            make_key(Address("203.0.113.5", first_caller_port + index), SERVICE),
+            make_key(Address("203.0.113.5", first_port + index), SERVICE),
             flags,
-            seq=1,
+            # Numbers rise: a repeated one counts as a retransmission.
+            seq=1 + round_number * len(PAYLOAD),
             ack=1 if flags & ACK else 0,
             payload=b"" if flags & SYN else PAYLOAD,
         ).encode()
-        for index in range(count)
+        for index in range(FLOWS)
     ]
 
 
 def measure_datapath() -> list[Figure]:
-    """Measure established, opening and relayed packets in one run."""
+    """Measure each kind of packet and the bare relay in one run."""
+    rates: dict[str, list[float]] = {}
+    ratios: dict[str, list[float]] = {}
+    payloads = [_packets(ACK | PSH, number) for number in range(ROUNDS)]
+    opens = [_packets(SYN, 0, 2048 + number * FLOWS) for number in range(ROUNDS)]
+    relays = [
+        [Relay(Direction.REQUEST, 1, packet).encode() for packet in packets]
+        for packets in payloads
+    ]
     with ExitStack() as stack:
-        sockets = [
-            stack.enter_context(open_udp(Address(LOOPBACK, 0))) for _ in range(4)
-        ]
-        inlet, outlet, sink, sender = sockets
-        target = Address(*inlet.getsockname())
-        sink_address = Address(*sink.getsockname())
-        source = DatagramSource(sender, target)
-        metrics = Metrics()
-        link = UdpPacketLink(
-            outlet,
-            outlet,
-            egress=sink_address,
-            control_address=lambda _: sink_address,
-            metrics=metrics,
-        )
-        clock = SystemClock()
-        router = build_router(clock, link, service=SERVICE, server=sink_address)
-        path = DataPath(
-            router, clock=clock, metrics=metrics, send=link.send, egress=sink_address
-        )
-        path.apply_snapshot(one_service(SERVICE, sink_address))
-
-        def bare_relay(batch: list[bytes]) -> None:
-            send = outlet.sendto
-            for datagram in batch:
-                send(datagram, sink_address)
-
-        def handle_relays(batch: list[bytes]) -> None:
-            for datagram in batch:
-                path.handle_relay(datagram)
-
-        flow_packets = _packets(ACK | PSH, 1024, FLOWS)
-        established = [flow_packets * (ROUND_PACKETS // FLOWS)] * ROUNDS
-        relayed = [
-            [Relay(Direction.REQUEST, 1, packet).encode() for packet in established[0]]
-        ] * ROUNDS
-        rates: dict[str, list[float]] = {}
-        ratios: dict[str, list[float]] = {}
-        for repetition in range(REPETITIONS):
-            first_port = 2048 + repetition * 4096
-            opening = [
-                _packets(SYN, first_port + index * FLOWS, FLOWS) for index in range(8)
-            ]
-            bare = _rate(source, inlet, established, bare_relay)
-            rates.setdefault("bare_relay", []).append(bare)
-            for name, rounds, handle in (
-                ("established", established, path.handle_batch),
-                ("opening", opening, path.handle_batch),
-                ("relayed", relayed, handle_relays),
-            ):
-                rate = _rate(source, inlet, rounds, handle)
+        bed = Bed(stack)
+        for _ in range(REPETITIONS):
+            for name, rate in _repetition(bed, payloads, opens, relays).items():
                 rates.setdefault(name, []).append(rate)
-                ratios.setdefault(name, []).append(rate / bare)
-        return [
-            Figure.of(f"datapath/{name}", values, "packets/cpu-s")
-            for name, values in rates.items()
-        ] + [
-            Figure.of(f"datapath_ratio/{name}", values, "of bare relay")
-            for name, values in ratios.items()
-        ]
+                ratios.setdefault(name, []).append(rate / rates[BARE][-1])
+    del ratios[BARE]
+    return [
+        Figure.of(f"datapath/{name}", values, "packets/cpu-s")
+        for name, values in rates.items()
+    ] + [
+        Figure.of(f"datapath_ratio/{name}", values, "of bare relay")
+        for name, values in ratios.items()
+    ]
+
+
+def _repetition(
+    bed: Bed,
+    payloads: list[list[bytes]],
+    opens: list[list[bytes]],
+    relays: list[list[bytes]],
+) -> dict[str, float]:
+    path, router = bed.path()
+    other, other_router = bed.path(owner=False)
+
+    def handle_relays(batch: list[bytes]) -> None:
+        for datagram in batch:
+            path.handle_relay(datagram)
+
+    kinds: dict[str, tuple[list[list[bytes]], Handler]] = {
+        BARE: (payloads, bed.bare_relay),
+        "established": (payloads, path.handle_batch),
+        "opening": (opens, path.handle_batch),
+        "relayed": (relays, handle_relays),
+        "uncertain": (payloads, other.handle_batch),
+    }
+    path.handle_batch(payloads[0])  # the flows are established from here on
+    seconds = dict.fromkeys(kinds, 0.0)
+    for number in range(ROUNDS):
+        for name, (rounds, handle) in kinds.items():
+            for each in (path, other):
+                each.note_tick()
+            for each in (router, other_router):
+                each.on_tick()
+            seconds[name] += bed.source.time(rounds[number], handle)
+    return {name: ROUNDS * FLOWS / spent for name, spent in seconds.items()}
--- /dev/null
+++ b/src/magnoliaslip/bench/default_choice.py
@@ -0,0 +1,107 @@
+"""Cost of the default backend server of a bucket, and what a change moves."""
+
+from random import Random
+from time import process_time
+
+from magnoliaslip.bench.fleet import SEED
+from magnoliaslip.bench.report import Figure
+from magnoliaslip.placement.bucket_table import BUCKETS, BucketTable, server_seed
+
+POOLS = (3, 110, 3500)
+REPETITIONS = 3
+# Buckets that are chosen; all of the largest pool would take about a minute.
+SAMPLE = {3: BUCKETS, 110: 16_384, 3500: 2_048}
+
+
+def seeds_of(servers: int) -> dict[int, bytes]:
+    """Return the seeds of a pool by server number."""
+    return {n: server_seed("service", f"server-{n}") for n in range(servers)}
+
+
+def moved_share(before: BucketTable, after: BucketTable, buckets: list[int]) -> float:
+    """Return the share of buckets whose server differs.
+
+    >>> table = BucketTable(seeds_of(3))
+    >>> moved_share(table, BucketTable(seeds_of(3)), [1, 2, 3])
+    0.0
+    """
+    moved = sum(before.winner(b) != after.winner(b) for b in buckets)
+    return moved / len(buckets)
+
+
+def least_share(servers: int, changed: int, *, added: bool) -> float:
+    """Return the least share of flows that a change of some servers must move.
+
+    >>> least_share(3, 1, added=True), least_share(4, 1, added=False)
+    (0.25, 0.25)
+    """
+    return changed / (servers + changed) if added else changed / servers
+
+
+def changed_servers(servers: int) -> int:
+    """Return how many servers a measured change adds or removes.
+
+    One percent of a large pool: a single server's share of the sampled buckets
+    would be too small to count.
+
+    >>> changed_servers(3), changed_servers(3500)
+    (1, 35)
+    """
+    return max(1, servers // 100)
+
+
+def measure_default_choice() -> list[Figure]:
+    """Measure choices, rebuilds and moved shares at each pool size."""
+    figures = []
+    rng = Random(SEED)
+    for servers in POOLS:
+        buckets = sorted(rng.sample(range(BUCKETS), SAMPLE[servers]))
+        figures += _measure_pool(servers, buckets)
+    return figures
+
+
+def _measure_pool(servers: int, buckets: list[int]) -> list[Figure]:
+    cold, warm, epoch, after_add, after_remove = [], [], [], [], []
+    share_added, share_removed = [], []
+    changed = changed_servers(servers)
+    for repetition in range(REPETITIONS):
+        seeds = seeds_of(servers)
+        started = process_time()
+        table = BucketTable(seeds)
+        epoch.append((process_time() - started) * 1e3)
+        cold.append(_choose(table, buckets))
+        warm.append(_choose(table, buckets))
+        more = dict(seeds)
+        for n in range(changed):
+            more[servers + n] = server_seed("service", f"added-{repetition}-{n}")
+        grown = BucketTable(more, parent=table)
+        after_add.append(_choose(grown, buckets))
+        least = least_share(servers, changed, added=True)
+        share_added.append(moved_share(table, grown, buckets) / least)
+        fewer = dict(seeds)
+        for n in range(changed):
+            del fewer[(repetition * changed + n) % servers]
+        shrunk = BucketTable(fewer, parent=table)
+        after_remove.append(_choose(shrunk, buckets))
+        least = least_share(servers, changed, added=False)
+        share_removed.append(moved_share(table, shrunk, buckets) / least)
+    to_rebuild = BUCKETS / 1e6
+    rebuild = [us * to_rebuild for us in cold]
+    return [
+        Figure.of(f"default_cold/{servers}", cold, "us/choice"),
+        Figure.of(f"default_known/{servers}", warm, "us/choice"),
+        Figure.of(f"default_table/{servers}", epoch, "ms/epoch"),
+        Figure.of(f"default_all_cold/{servers}", rebuild, "s/65536 buckets"),
+        Figure.of(f"default_after_add/{servers}", after_add, "us/choice"),
+        Figure.of(f"default_after_remove/{servers}", after_remove, "us/choice"),
+        Figure.of(f"default_moved_add/{servers}", share_added, "of least"),
+        Figure.of(f"default_moved_remove/{servers}", share_removed, "of least"),
+    ]
+
+
+def _choose(table: BucketTable, buckets: list[int]) -> float:
+    winner = table.winner
+    started = process_time()
+    for bucket in buckets:
+        winner(bucket)
+    return (process_time() - started) / len(buckets) * 1e6
--- a/src/magnoliaslip/bench/fleet.py
+++ b/src/magnoliaslip/bench/fleet.py
@@ -11,7 +11,7 @@
 )
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
-from magnoliaslip.core.group import GroupView, Member
+from magnoliaslip.core.group import GroupView, Member, MemberState
 from magnoliaslip.core.links import PacketLink, PeerLink
 from magnoliaslip.core.recorder import NullRecorder
 from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
@@ -44,18 +44,31 @@
 
 
 def build_router(
-    clock: Clock, packets: PacketLink, *, service: Address, server: Address
+    clock: Clock,
+    packets: PacketLink,
+    *,
+    service: Address,
+    server: Address,
+    owner: bool = True,
 ) -> FlowRouter:
-    """Build the router of an instance that is alone in its group."""
+    """Build the router of an instance that owns every slice, or none.
+
+    Without slices it has no certificates either, so it relays each packet.
+    """
+    own = "i1"
     router = FlowRouter(
-        "i1",
+        own,
         clock=clock,
         packets=packets,
         peers=NullPeerLink(),
         recorder=NullRecorder(),
         rng=Random(SEED),
     )
-    router.apply_view(GroupView(1, {"i1": Member("i1", "a")}))
+    members = {own: Member(own, "a")}
+    if not owner:
+        members[own] = Member(own, "a", MemberState.LEAVING)
+        members["i2"] = Member("i2", "a")
+    router.apply_view(GroupView(1, members))
     router.apply_history(
         [HistoryEntry(one_service(service, server), clock.monotonic())]
     )
--- /dev/null
+++ b/src/magnoliaslip/bench/resident.py
@@ -0,0 +1,49 @@
+"""Resident memory of each binary at start, and what its imports cost."""
+
+from magnoliaslip.bench.child import import_in_child
+from magnoliaslip.bench.report import Figure
+
+REPETITIONS = 3
+MIB = 1 << 20
+# What each binary has loaded when it starts its work.
+BINARIES = {
+    "instance": "magnoliaslip.instance.__main__,magnoliaslip.instance.process",
+    "ops": "magnoliaslip.ops.__main__",
+    "ops_status": "magnoliaslip.ops.__main__,magnoliaslip.ops.admin_client",
+    "lab": "magnoliaslip.lab.__main__",
+}
+# Each alone in a fresh interpreter; shared parts such as ``typing`` count in each.
+LIBRARIES = (
+    "asyncio",
+    "anyio,anyio._backends._asyncio",
+    "dpkt",
+    "click",
+    "hdrh.histogram",
+    "msgspec.json",
+    "json5",
+    "google.protobuf.message",
+    "grpclib.client,grpclib.server",
+    "h11",
+    "xxhash",
+    "magnoliaslip.peering.proto.peer_pb2",
+    "magnoliaslip.placement.router",
+)
+
+
+def measure_resident() -> list[Figure]:
+    """Measure the imports of each binary and of each library."""
+    figures = []
+    before = [import_in_child("sys")[0] / MIB for _ in range(REPETITIONS)]
+    figures.append(Figure.of("resident/interpreter", before, "MiB"))
+    for name, modules in BINARIES.items():
+        runs = [import_in_child(modules) for _ in range(REPETITIONS)]
+        resident = [after / MIB for _, after, _ in runs]
+        figures.append(Figure.of(f"resident/{name}", resident, "MiB"))
+        seconds = [seconds * 1e3 for *_, seconds in runs]
+        figures.append(Figure.of(f"import_cpu/{name}", seconds, "ms"))
+    for modules in LIBRARIES:
+        runs = [import_in_child(modules) for _ in range(REPETITIONS)]
+        added = [(after - start) / MIB for start, after, _ in runs]
+        name = modules.split(",")[0]
+        figures.append(Figure.of(f"import/{name}", added, "MiB"))
+    return figures
