Measure the slow path at an owner past its takeover

The owner of the measurement had just taken its slices over, so each relayed packet also asked whether it should be left to others. Wait until the owner is settled, and keep one pair of instances for all repetitions.

--- a/src/magnoliaslip/bench/datapath.py
+++ b/src/magnoliaslip/bench/datapath.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 from socket import socket as Socket  # noqa: N812
-from time import process_time
+from time import monotonic, process_time, sleep
 
 from magnoliaslip.bench.fleet import build_router, one_service
 from magnoliaslip.bench.report import Figure
@@ -24,6 +24,7 @@
 from magnoliaslip.packet.segment import Segment
 from magnoliaslip.packet.tunnel import Relay
 from magnoliaslip.placement.router import FlowRouter
+from magnoliaslip.placement.slices import SETTLE_SECONDS
 
 LOOPBACK = "127.0.0.1"
 SERVICE = Address("198.51.100.10", 443)
@@ -62,7 +63,15 @@
 
 
 class Bed:
-    """The sockets of a measurement, and instances behind them."""
+    """The sockets of a measurement, and two instances behind them.
+
+    Args:
+        stack: Closes the sockets.
+
+    Attributes:
+        owner: Owns every slice.
+        other: Owns no slice and holds no certificate.
+    """
 
     def __init__(self, stack: ExitStack) -> None:
         sockets = [
@@ -73,8 +82,24 @@
         self.source = DatagramSource(sender, inlet)
         self.clock = SystemClock()
         self.metrics = Metrics()
-
-    def path(self, *, owner: bool = True) -> tuple[DataPath, FlowRouter]:
+        self.owner, self._owner_router = self._path(owner=True)
+        self.other, self._other_router = self._path(owner=False)
+
+    def settle(self) -> None:
+        """Wait until the owner is as certain as some seconds after a takeover."""
+        until = monotonic() + SETTLE_SECONDS + 0.1
+        while monotonic() < until:
+            self.tick()
+            sleep(0.05)
+
+    def tick(self) -> None:
+        """Do what an instance does every 100 ms."""
+        self.owner.note_tick()
+        self.other.note_tick()
+        self._owner_router.on_tick()
+        self._other_router.on_tick()
+
+    def _path(self, *, owner: bool) -> tuple[DataPath, FlowRouter]:
         """Build an instance that owns every slice, or one that owns none."""
         sink = self.sink_address
         link = UdpPacketLink(
@@ -104,10 +129,11 @@
             send(datagram, sink)
 
 
-def _packets(flags: int, round_number: int, first_port: int = 1024) -> list[bytes]:
+def _packets(flags: int, round_number: int, *, host: int = 1) -> list[bytes]:
+    first_port = 1024 + (round_number * FLOWS if flags & SYN else 0)
     return [
         Segment(
-            make_key(Address("203.0.113.5", first_port + index), SERVICE),
+            make_key(Address(f"203.0.113.{host}", first_port + index), SERVICE),
             flags,
             # Numbers rise: a repeated one counts as a retransmission.
             seq=1 + round_number * len(PAYLOAD),
@@ -123,14 +149,18 @@
     rates: dict[str, list[float]] = {}
     ratios: dict[str, list[float]] = {}
     payloads = [_packets(ACK | PSH, number) for number in range(ROUNDS)]
-    opens = [_packets(SYN, 0, 2048 + number * FLOWS) for number in range(ROUNDS)]
     relays = [
         [Relay(Direction.REQUEST, 1, packet).encode() for packet in packets]
         for packets in payloads
     ]
     with ExitStack() as stack:
         bed = Bed(stack)
-        for _ in range(REPETITIONS):
+        bed.settle()
+        bed.owner.handle_batch(payloads[0])  # established from here on
+        for repetition in range(REPETITIONS):
+            opens = [
+                _packets(SYN, number, host=10 + repetition) for number in range(ROUNDS)
+            ]
             for name, rate in _repetition(bed, payloads, opens, relays).items():
                 rates.setdefault(name, []).append(rate)
                 ratios.setdefault(name, []).append(rate / rates[BARE][-1])
@@ -150,27 +180,20 @@
     opens: list[list[bytes]],
     relays: list[list[bytes]],
 ) -> dict[str, float]:
-    path, router = bed.path()
-    other, other_router = bed.path(owner=False)
-
     def handle_relays(batch: list[bytes]) -> None:
         for datagram in batch:
-            path.handle_relay(datagram)
+            bed.owner.handle_relay(datagram)
 
     kinds: dict[str, tuple[list[list[bytes]], Handler]] = {
         BARE: (payloads, bed.bare_relay),
-        "established": (payloads, path.handle_batch),
-        "opening": (opens, path.handle_batch),
+        "established": (payloads, bed.owner.handle_batch),
+        "opening": (opens, bed.owner.handle_batch),
         "relayed": (relays, handle_relays),
-        "uncertain": (payloads, other.handle_batch),
+        "uncertain": (payloads, bed.other.handle_batch),
     }
-    path.handle_batch(payloads[0])  # the flows are established from here on
     seconds = dict.fromkeys(kinds, 0.0)
     for number in range(ROUNDS):
         for name, (rounds, handle) in kinds.items():
-            for each in (path, other):
-                each.note_tick()
-            for each in (router, other_router):
-                each.on_tick()
+            bed.tick()
             seconds[name] += bed.source.time(rounds[number], handle)
     return {name: ROUNDS * FLOWS / spent for name, spent in seconds.items()}
