--- /dev/null
+++ b/tests/proof/test_matrix.py
@@ -0,0 +1,56 @@
+"""Guards against faults that break a rule, and a matrix that cannot be repeated."""
+
+import pytest
+
+from magnoliaslip.proof import matrix
+from magnoliaslip.proof.faults import FAULTS
+from magnoliaslip.proof.matrix import (
+    PAIRS,
+    Cell,
+    pair_cells,
+    render,
+    run_cell,
+    run_cells,
+    single_cells,
+    subset_cells,
+)
+from magnoliaslip.proof.steps import STEPS
+
+SEED = 1
+
+
+@pytest.mark.parametrize("cell", subset_cells(), ids=lambda cell: cell.name)
+def test_cell_keeps_every_rule(cell):
+    result = run_cell(cell, SEED)
+    assert result.error == ""
+    assert result.flows > 100
+    assert [finding.text for finding in result.findings] == []
+
+
+def test_same_seed_gives_the_same_history_and_another_seed_another(monkeypatch):
+    monkeypatch.setattr(matrix, "LENGTH_S", 16.0)
+    cell = Cell("sicily", "zone-out", ("kill",))
+    (first,) = run_cells([cell], seed=SEED, jobs=1)
+    again = run_cell(cell, SEED)
+    assert first.digest == again.digest != ""
+    assert run_cell(cell, SEED + 1).digest != first.digest
+
+
+def test_matrix_covers_every_fault_at_every_step():
+    singles = {cell.name for cell in single_cells()}
+    assert len(singles) == 2 * len(STEPS) * (len(FAULTS) + 1)
+    subset = subset_cells()
+    assert {cell.faults[0] for cell in subset} == FAULTS.keys()
+    assert {cell.step for cell in subset} == STEPS.keys()
+    pairs = pair_cells(SEED)
+    assert len({cell.name for cell in pairs}) == PAIRS
+    assert pairs == pair_cells(SEED) != pair_cells(SEED + 1)
+
+
+def test_exception_in_a_cell_is_a_failed_cell_and_not_the_end_of_the_matrix():
+    result = run_cell(Cell("sicily", "no-such-step", ()), SEED)
+    assert "KeyError" in result.error
+    assert not result.passed
+    report = "\n".join(render([result]))
+    assert "FAILED sicily/no-such-step/none" in report
+    assert "0 of 1 cells" in report
--- /dev/null
+++ b/tests/proof/test_world.py
@@ -0,0 +1,103 @@
+"""Guards against a simulated deployment that does not behave like one."""
+
+import os
+import subprocess
+import sys
+from collections import Counter
+from dataclasses import replace
+
+import pytest
+
+from magnoliaslip.lab.load import LoadConfig
+from magnoliaslip.proof.checker import Checker
+from magnoliaslip.proof.experiments import WORK_FACTOR
+from magnoliaslip.proof.faults import FAULTS
+from magnoliaslip.proof.steps import STEPS, ZoneOut
+from magnoliaslip.proof.world import WORLD_LOAD, World, WorldConfig, run_world
+
+DIGEST = """
+from magnoliaslip.proof.matrix import Cell, cell_history
+print(cell_history(Cell("sicily", "instance-start", ("loss-delay",)), 7)[1].digest())
+"""
+
+
+@pytest.mark.parametrize("deployment", ["karaganda", "sicily"])
+def test_deployment_without_faults_answers_and_keeps_every_rule(deployment):
+    cfg = WorldConfig(deployment=deployment, length_s=12.0)
+    world, history = run_world(cfg)
+    phases = Counter(record["phase"] for record in history.of("call"))
+    assert phases["answered"] > 60
+    assert not phases["reset"] + phases["timeout"] + phases["refused"]
+    assert len(world.instances) == 7
+    assert all(sent > 0 for sent in world.control_bytes.values())
+    assert Checker().check(history).failed == ()
+
+
+def test_history_does_not_depend_on_the_process_or_the_hash_seed():
+    """Guards against sets of strings whose order decides what happens."""
+    digests = set()
+    for hash_seed in ("1", "2"):
+        env = {**os.environ, "PYTHONHASHSEED": hash_seed}
+        run = subprocess.run(
+            [sys.executable, "-c", DIGEST],
+            env={**env, "PYTHONPATH": os.pathsep.join(sys.path)},
+            capture_output=True,
+            check=True,
+        )
+        digests.add(run.stdout)
+    assert len(digests) == 1
+
+
+def test_killed_instance_has_no_further_effect():
+    """A killed process that still sent or recorded would hide what its death does."""
+
+    def kill(world: World):
+        world.loop.call_later(6.0, world.kill_instance, "i3")
+
+    world, history = run_world(WorldConfig(length_s=10.0), kill)
+    assert not [r for r in history.records if r.who == "i3" and r.t > 6.0]
+    assert world.instances["i3"].process.ended
+    assert [r for r in history.of("forward") if r.who == "i4" and r.t > 8.0]
+
+
+def test_every_fault_and_every_step_is_injected_and_recorded():
+    """Guards against a fault or step that silently does nothing."""
+
+    def inject(world: World):
+        for name, fault in FAULTS.items():
+            if name not in ("kill", "pause"):
+                instance = fault(world, world.rng(name))
+                world.loop.call_later(4.0, instance.begin)
+        world.loop.call_later(4.5, check, world)
+        for name in ("route-change", "server-drain", "zone-out"):
+            world.loop.call_later(3.0, STEPS[name](world, world.rng(name)).run)
+
+    def check(world: World):
+        assert world.platform.down and world.platform.stale
+        assert world.cut_off() == sorted(world.instances)
+        assert any(s.model.counters["restarts"] for s in world.servers.values())
+
+    cfg = WorldConfig(length_s=5.0, load=replace(WORLD_LOAD, sessions_per_s=1.0))
+    _, history = run_world(cfg, inject)
+    begun = {r["fault"] for r in history.of("fault") if r["phase"] == "begin"}
+    assert begun == FAULTS.keys() - {"kill", "pause"}
+    last = history.of("publish")[-1]
+    assert last["version"] == 4 and last["zones_out"] and last["draining"]
+
+
+def test_zone_taken_out_does_not_make_other_servers_refuse():
+    """Flows that were given up with their zone reach servers that never knew them.
+
+    Their resets were taken for restarts of all servers, which then took few opens.
+    """
+    load = LoadConfig(sessions_per_s=12.0, think_s=(0.2, 2.0), feed_s=(5.0, 25.0))
+    cfg = WorldConfig(
+        deployment="sicily", length_s=14.0, load=load, work_factor=WORK_FACTOR / 2
+    )
+
+    def take_out(world: World):
+        world.loop.call_later(8.0, ZoneOut(world, world.rng("zone")).take_out, "b")
+
+    _, history = run_world(cfg, take_out)
+    assert history.of("refuse") == []
+    assert Checker().check(history).failed == ()
