Hold the mutations against the history of a real run

A replaced record now keeps its place: a reset that took the place of an answer was sorted behind the closing record of the same moment, so that rule 5 failed as well. Every mutation makes exactly its rule fail on a run with a zone out, a drain, a cold start and a planned stop.

--- a/src/magnoliaslip/proof/mutations.py
+++ b/src/magnoliaslip/proof/mutations.py
@@ -48,8 +48,11 @@
 
 
 def _replace(facts: Facts, old: Record, new: Record | None) -> list[Record]:
-    records = [record for record in facts.history.records if record is not old]
-    return [*records, new] if new else records
+    """Put a record in the place of another, or drop the other."""
+    records = list(facts.history.records)
+    at = next(n for n, record in enumerate(records) if record is old)
+    records[at : at + 1] = [new] if new else []
+    return records
 
 
 def _answered(facts: Facts) -> list[Record]:
@@ -74,15 +77,14 @@
         """Turn one answer into a reset and drop what follows on the flow."""
         answer = _pick(rng, _answered(facts))
         new = _copy(answer, phase="reset", complete=False, answered_by="")
-        return [
+        records = _replace(facts, answer, new)
+        at = records.index(new)
+        later = [
             record
-            for record in _replace(facts, answer, new)
-            if not (
-                record.kind == "call"
-                and record["flow"] == answer["flow"]
-                and record.t > answer.t
-            )
+            for record in records[at + 1 :]
+            if record.kind != "call" or record["flow"] != answer["flow"]
         ]
+        return records[: at + 1] + later
 
 
 class ForeignPacket(Mutation):
--- a/tests/proof/test_world.py
+++ b/tests/proof/test_world.py
@@ -12,6 +12,7 @@
 from magnoliaslip.proof.checker import Checker
 from magnoliaslip.proof.experiments import WORK_FACTOR
 from magnoliaslip.proof.faults import FAULTS
+from magnoliaslip.proof.mutations import MUTATIONS
 from magnoliaslip.proof.steps import STEPS, ZoneOut
 from magnoliaslip.proof.world import WORLD_LOAD, World, WorldConfig, run_world
 
@@ -85,6 +86,23 @@
     assert last["version"] == 4 and last["zones_out"] and last["draining"]
 
 
+def test_mutations_make_exactly_their_rule_fail_on_a_real_history():
+    """Guards against rules that look for fields which real records do not have."""
+
+    def plan(world: World):
+        rng = world.rng("steps")
+        steps = {"server-start": 5.0, "instance-stop": 6.0, "server-drain": 7.0}
+        for name, t in {**steps, "zone-out": 8.0}.items():
+            world.loop.call_later(t, STEPS[name](world, rng).run)
+
+    cfg = STEPS["server-start"].prepare(WorldConfig(length_s=26.0, seed=5))
+    _, history = run_world(cfg, plan)
+    assert Checker().check(history).failed == ()
+    for mutation in MUTATIONS:
+        verdict = Checker().check(mutation.apply(history, 3))
+        assert verdict.failed == (mutation.rule,)
+
+
 def test_zone_taken_out_does_not_make_other_servers_refuse():
     """Flows that were given up with their zone reach servers that never knew them.
 
