--- a/src/magnoliaslip/bench/__main__.py
+++ b/src/magnoliaslip/bench/__main__.py
@@ -13,6 +13,8 @@
 SECTIONS: Mapping[str, str] = {
     "datapath": "magnoliaslip.bench.datapath:measure_datapath",
     "default": "magnoliaslip.bench.default_choice:measure_default_choice",
+    "memory": "magnoliaslip.bench.memory:measure_memory",
+    "control": "magnoliaslip.bench.control:measure_control",
     "resident": "magnoliaslip.bench.resident:measure_resident",
 }
 
--- /dev/null
+++ b/src/magnoliaslip/bench/control.py
@@ -0,0 +1,135 @@
+"""Control traffic and processor time of a fleet in virtual time."""
+
+from concurrent.futures import ThreadPoolExecutor
+from logging import CRITICAL, disable
+from time import process_time
+
+from anyio import sleep
+
+from magnoliaslip.bench.child import call_in_child
+from magnoliaslip.bench.flow_load import FlowLoad
+from magnoliaslip.bench.report import Figure
+from magnoliaslip.bench.sim_fleet import SimFleet, run_fleet
+from magnoliaslip.bench.tables import PublishedTables
+
+WARM_UP_S = 4.0  # views are settled and starts are over
+# Members, length of the measured part in virtual seconds, repetitions. All members
+# talk to all, so the cost of a run rises with the third power of their number.
+GROUPS = ((7, 20.0, 3), (50, 3.0, 2), (100, 2.0, 1), (200, 1.0, 1))
+# Changes a second and backend servers.
+CHANGES = ((0.5, 110), (2.0, 110), (0.5, 1_000), (0.5, 10_000))
+CHANGE_GROUP = 7
+# New flows a second and instance, and the share that is an exception. Adding a to b
+# backend servers moves a / (a + b) of the buckets.
+FLOW_RATES = (50.0, 200.0)
+ADDED_SERVERS = {0.0: 0, 0.125: 1, 0.5: 7}
+FLOW_SERVERS = 7
+FLOW_WARM_UP_S = 3.0
+FLOW_WINDOW_S = 5.0
+REPETITIONS = 2
+PARALLEL = 3
+
+
+def measure_group(members: int, window_s: float, seed: int) -> list[float]:
+    """Return CPU seconds and control bytes a second and instance, without flows."""
+    disable(CRITICAL)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        fleet.start(list(fleet.entries))
+        await sleep(WARM_UP_S)
+        return await _window(fleet, window_s)
+
+    tables = PublishedTables(110, zones=min(members, 4))
+    return run_fleet(scenario, instances=members, tables=tables, seed=seed)
+
+
+def measure_changes(rate: float, servers: int, seed: int) -> list[float]:
+    """Return what `measure_group` does, with changes of one server each."""
+    disable(CRITICAL)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        fleet.start(list(fleet.entries))
+        await sleep(WARM_UP_S)
+        count = int(10 * rate)
+        for n in range(count):
+            fleet.loop.call_later(n / rate, fleet.publish, "pools/0")
+        return await _window(fleet, count / rate)
+
+    tables = PublishedTables(servers, zones=4)
+    return run_fleet(scenario, instances=CHANGE_GROUP, tables=tables, seed=seed)
+
+
+def measure_flows(rate: float, added: int, seed: int) -> list[float]:
+    """Return control bytes a second and instance, and the share of exceptions."""
+    disable(CRITICAL)
+    tables = PublishedTables(FLOW_SERVERS, zones=4)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        names = list(fleet.entries)
+        fleet.start(names)
+        await fleet.wait(lambda: fleet.serving(names), 10.0)
+        if added:
+            tables.add_servers(added)
+            fleet.publish("pools/0")
+        await sleep(WARM_UP_S)
+        load = FlowLoad(fleet, rate * len(names))
+        load.start(FLOW_WARM_UP_S + FLOW_WINDOW_S)
+        await sleep(FLOW_WARM_UP_S)
+        _, sent = await _window(fleet, FLOW_WINDOW_S)
+        return [sent, load.established / max(1, load.opened)]
+
+    return run_fleet(scenario, instances=CHANGE_GROUP, tables=tables, seed=seed)
+
+
+async def _window(fleet: SimFleet, window_s: float) -> list[float]:
+    before = fleet.sent_bytes.total()
+    started = process_time()
+    await sleep(window_s)
+    share = len(fleet.instances) * window_s
+    cpu_s = process_time() - started
+    return [cpu_s / share, (fleet.sent_bytes.total() - before) / share]
+
+
+def measure_control() -> list[Figure]:
+    """Measure control against members, changes, servers and flows."""
+    with ThreadPoolExecutor(PARALLEL) as pool:
+
+        def start(name: str, count: int, *args: float) -> list:
+            return [
+                pool.submit(call_in_child, __name__, name, *args, seed)
+                for seed in range(count)
+            ]
+
+        # The longest one first.
+        groups = {
+            members: start("measure_group", count, members, window)
+            for members, window, count in reversed(GROUPS)
+        }
+        changes = {
+            case: start("measure_changes", REPETITIONS, *case) for case in CHANGES
+        }
+        flows = {
+            (rate, share): start("measure_flows", REPETITIONS, rate, added)
+            for rate in FLOW_RATES
+            for share, added in ADDED_SERVERS.items()
+        }
+        figures = []
+        for members, runs in sorted(groups.items()):
+            figures += _pair(f"control/members/{members}", runs)
+        for (rate, servers), runs in changes.items():
+            figures += _pair(f"control/changes/{rate:g}/s/{servers}_servers", runs)
+        for (rate, share), runs in flows.items():
+            name = f"control/flows/{rate:g}/s/{share:.1%}_exceptions"
+            results = [run.result() for run in runs]
+            figures.append(Figure.of(name, [r[0] for r in results], "B/s"))
+            done = Figure.of(f"{name}/done", [r[1] for r in results], "of opened")
+            figures.append(done)
+        return figures
+
+
+def _pair(name: str, runs: list) -> list[Figure]:
+    results = [run.result() for run in runs]
+    return [
+        Figure.of(f"{name}/cpu", [r[0] * 1e3 for r in results], "ms/s"),
+        Figure.of(f"{name}/bytes", [r[1] for r in results], "B/s"),
+    ]
--- a/src/magnoliaslip/bench/fleet.py
+++ b/src/magnoliaslip/bench/fleet.py
@@ -12,7 +12,7 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.group import GroupView, Member, MemberState
-from magnoliaslip.core.links import PacketLink, PeerLink
+from magnoliaslip.core.links import Direction, PacketLink, PeerLink
 from magnoliaslip.core.recorder import NullRecorder
 from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
 from magnoliaslip.placement.router import FlowRouter
@@ -29,6 +29,23 @@
         """Discard the message."""
 
 
+class NullPacketLink(PacketLink):
+    """Discards packets."""
+
+    __slots__ = ()
+
+    def send_to_server(self, server: Address, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def send_to_caller(self, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def relay(
+        self, instance_id: str, packet: bytes, *, direction: Direction, hops: int
+    ) -> None:
+        """Discard the packet."""
+
+
 def one_service(service: Address, server: Address, *, servers: int = 1) -> Snapshot:
     """Build a snapshot of one service whose servers share an address."""
     pool = Pool(
@@ -50,6 +67,7 @@
     service: Address,
     server: Address,
     owner: bool = True,
+    peers: PeerLink | None = None,
 ) -> FlowRouter:
     """Build the router of an instance that owns every slice, or none.
 
@@ -60,7 +78,7 @@
         own,
         clock=clock,
         packets=packets,
-        peers=NullPeerLink(),
+        peers=peers or NullPeerLink(),
         recorder=NullRecorder(),
         rng=Random(SEED),
     )
--- /dev/null
+++ b/src/magnoliaslip/bench/flow_load.py
@@ -0,0 +1,103 @@
+"""Short flows through a simulated fleet, sprayed over all instances."""
+
+from magnoliaslip.bench.sim_fleet import SimFleet
+from magnoliaslip.packet.flow_key import (
+    ACK,
+    FIN,
+    FLAGS_OFFSET,
+    PSH,
+    SYN,
+    FlowKey,
+    plain_key,
+    reverse_key,
+    service_key,
+)
+
+FLOW_S = 1.5  # from the opening packet to the end
+PAYLOAD = b"p" * 100
+CALLER_ISN = 1000
+SERVER_ISN = 5000
+
+
+def tcp_packet(key: FlowKey, flags: int, *, seq: int, payload: bytes = b"") -> bytes:
+    """Return a TCP packet without checksums.
+
+    >>> plain_key(tcp_packet(bytes(range(12)), SYN, seq=1)) == bytes(range(12))
+    True
+    """
+    length = (40 + len(payload)).to_bytes(2, "big")
+    ack = (CALLER_ISN if seq >= SERVER_ISN else SERVER_ISN) + 1
+    numbers = seq.to_bytes(4, "big") + ack.to_bytes(4, "big")
+    head = b"\x45\0" + length + b"\0\0\0\0\x40\x06\0\0" + key + numbers
+    return head + bytes((0x50, flags)) + bytes(6) + payload
+
+
+class FlowLoad:
+    """Opens flows at a constant rate; backend servers accept all of them.
+
+    Args:
+        fleet: The fleet.
+        rate: New flows a second over all instances.
+
+    Attributes:
+        opened: Opening packets sent.
+        established: Opening answers that came back to callers.
+    """
+
+    def __init__(self, fleet: SimFleet, rate: float) -> None:
+        self._fleet = fleet
+        self._rate = rate
+        self._number = 0
+        self._until = 0.0
+        self._names = list(fleet.entries)
+        self._service = service_key(fleet.tables.addresses[0])
+        self.opened = 0
+        self.established = 0
+        fleet.directory.callers = self._at_caller
+        for number in range(fleet.tables.servers):
+            name = f"server-{number}"
+            fleet.network.add(name, fleet.tables.zones[number % 4])
+            fleet.directory.servers[fleet.tables.server_address(number)] = (
+                name,
+                self._at_server,
+            )
+
+    def start(self, length_s: float) -> None:
+        """Open flows for some virtual seconds."""
+        self._until = self._fleet.loop.time() + length_s
+        self._open()
+
+    def _open(self) -> None:
+        loop = self._fleet.loop
+        if loop.time() >= self._until:
+            return
+        loop.call_later(1 / self._rate, self._open)
+        self._number += 1
+        self.opened += 1
+        number = self._number.to_bytes(5, "big")
+        caller, port = b"\x0a" + number[:3], number[3:]
+        key = caller + self._service[:4] + port + self._service[4:]
+        self._spray(tcp_packet(key, SYN, seq=CALLER_ISN))
+
+    def _at_server(self, packet: bytes) -> None:
+        key = reverse_key(plain_key(packet))
+        flags = packet[FLAGS_OFFSET]
+        if flags & SYN:
+            self._spray(tcp_packet(key, SYN | ACK, seq=SERVER_ISN))
+        elif flags & FIN:
+            self._spray(tcp_packet(key, FIN | ACK, seq=SERVER_ISN + 1))
+
+    def _at_caller(self, packet: bytes) -> None:
+        if packet[FLAGS_OFFSET] & SYN:
+            self.established += 1
+            key = reverse_key(plain_key(packet))
+            seq = CALLER_ISN + 1
+            self._spray(tcp_packet(key, PSH | ACK, seq=seq, payload=PAYLOAD))
+            end = tcp_packet(key, FIN | ACK, seq=seq + len(PAYLOAD))
+            self._fleet.loop.call_later(FLOW_S, self._spray, end)
+
+    def _spray(self, packet: bytes) -> None:
+        fleet = self._fleet
+        name = fleet.rng.choice(self._names)
+        receive = fleet.directory.datagrams[name]
+        fleet.network.send(CALLERS, name, receive, packet)
--- /dev/null
+++ b/src/magnoliaslip/bench/sim_fleet.py
@@ -0,0 +1,173 @@
+"""A fleet of real instances in virtual time, without backend servers.
+
+Only the network, the platform and the clock are simulated. CPU seconds that are
+measured over such a fleet include the simulated network.
+"""
+
+from asyncio import get_running_loop
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from random import Random
+from typing import Any
+
+from anyio import create_task_group, run, sleep
+from anyio.abc import TaskGroup
+
+from magnoliaslip.bench.tables import PublishedTables
+from magnoliaslip.config.settings import InstanceSettings
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.group import InstanceEntry, MemberState
+from magnoliaslip.core.recorder import NullRecorder
+from magnoliaslip.proof.network import CALLERS, PLATFORM, Network
+from magnoliaslip.proof.sim_hosts import SimInstance
+from magnoliaslip.proof.sim_links import Directory
+from magnoliaslip.proof.sim_platform import SimPlatform
+from magnoliaslip.proof.virtual_loop import VirtualEventLoop
+
+EGRESS = Address("192.0.2.1", 6080)
+PLATFORM_ADDRESS = Address("192.0.2.2", 8500)
+ZONE_DELAY_S = 0.005
+CALLER_DELAY_S = 0.001
+SEED_PEERS = 3  # other instances that the settings name
+POLL_S = 0.01
+
+
+class QuietRecorder(NullRecorder):
+    """Discards every record of a simulated instance."""
+
+    __slots__ = ("muted",)
+
+    def __init__(self) -> None:
+        self.muted = True
+
+
+class SimFleet:
+    """Instances that share a platform and a lossy network.
+
+    Args:
+        tasks: Task group that runs the instances.
+        instances: Number of instances.
+        tables: What the platform holds; tells the availability zones.
+        seed: Seed of everything random.
+    """
+
+    def __init__(
+        self, tasks: TaskGroup, *, instances: int, tables: PublishedTables, seed: int
+    ) -> None:
+        loop = get_running_loop()
+        if not isinstance(loop, VirtualEventLoop):
+            raise TypeError("a fleet needs the virtual event loop")
+        self.loop = loop
+        self.tables = tables
+        self.rng = Random(seed)
+        self.network = Network(
+            loop,
+            Random(seed + 1),
+            zone_delay_s=ZONE_DELAY_S,
+            caller_delay_s=CALLER_DELAY_S,
+        )
+        self.network.add(CALLERS)
+        self.network.add(PLATFORM)
+        self.platform = SimPlatform(loop, Random(seed + 2))
+        self.sent_bytes: Counter[str] = Counter()
+        self.directory = Directory(lambda _: None)
+        self.instances: dict[str, SimInstance] = {}
+        self.entries = {
+            f"i{n}": InstanceEntry(
+                f"i{n}",
+                tables.zones[n % len(tables.zones)],
+                Address(f"10.8.{n >> 8}.{n & 255}", 7000),
+                Address(f"10.8.{n >> 8}.{n & 255}", 7100),
+            )
+            for n in range(instances)
+        }
+        self._tasks = tasks
+
+    def publish(self, *shards: str) -> None:
+        """Publish values with risen versions, all by default."""
+        self.platform.publish(self.tables.values(*shards))
+
+    def publish_list(self) -> None:
+        """Publish the list of all instances."""
+        self.platform.publish(self.tables.instances(list(self.entries.values())))
+
+    def start(self, names: list[str]) -> None:
+        """Start instances; they look for peers in the first entries of the list."""
+        for name in names:
+            entry = self.entries[name]
+            others = [e for e in self.entries.values() if e.id != name]
+            instance = SimInstance(
+                InstanceSettings(
+                    id=name,
+                    zone=entry.zone,
+                    data=entry.data,
+                    control=entry.control,
+                    egress=EGRESS,
+                    platform=(PLATFORM_ADDRESS,),
+                    peers=tuple(others[:SEED_PEERS]),
+                ),
+                incarnation=int(self.loop.time() * 1000) + 1,
+                network=self.network,
+                directory=self.directory,
+                platform=self.platform,
+                recorder=QuietRecorder(),
+                seed=self.rng.getrandbits(32),
+                policy="exceptions",
+                control_bytes=self.sent_bytes,
+            )
+            self.instances[name] = instance
+            instance.start(self._tasks, lambda _: None)
+
+    def stop(self) -> None:
+        """End all instances at once."""
+        for instance in self.instances.values():
+            instance.kill()
+
+    def serving(self, names: list[str]) -> bool:
+        """Return whether the instances serve."""
+        return all(
+            self.instances[n].node.membership.state is MemberState.SERVING
+            for n in names
+        )
+
+    def in_force(self, names: list[str]) -> bool:
+        """Return whether the instances have the newest version in force."""
+        newest = self.tables.version
+        return all(self.instances[n].node.store.version == newest for n in names)
+
+    async def wait(self, condition: Callable[[], bool], limit_s: float) -> float:
+        """Return the virtual seconds until a condition holds; infinity at the limit."""
+        started = self.loop.time()
+        while not condition():
+            if self.loop.time() - started >= limit_s:
+                return float("inf")
+            await sleep(POLL_S)
+        return self.loop.time() - started
+
+
+def run_fleet(
+    scenario: Callable[[SimFleet], Awaitable[Any]],
+    *,
+    instances: int,
+    tables: PublishedTables,
+    seed: int,
+) -> Any:
+    """Run a scenario on a fleet that has its list and tables published.
+
+    Args:
+        scenario: Starts instances and returns what was measured.
+        instances: Number of instances.
+        tables: What the platform holds.
+        seed: Seed of everything random.
+    """
+
+    async def main() -> Any:
+        async with create_task_group() as tasks:
+            fleet = SimFleet(tasks, instances=instances, tables=tables, seed=seed)
+            fleet.publish()
+            fleet.publish_list()
+            result = await scenario(fleet)
+            fleet.stop()
+        return result
+
+    return run(main, backend_options={"loop_factory": VirtualEventLoop})
