Measure control, news, starts and platform reads in virtual time

A fleet of real instances on the simulated network of the proof package gives bytes and CPU seconds against members, changes, servers and flows, the time of a change to every instance under loss and around a cut, starts with and without the platform, and platform reads. Formulas scale the slopes up.

--- a/src/magnoliaslip/bench/__main__.py
+++ b/src/magnoliaslip/bench/__main__.py
@@ -15,6 +15,7 @@
     "default": "magnoliaslip.bench.default_choice:measure_default_choice",
     "memory": "magnoliaslip.bench.memory:measure_memory",
     "control": "magnoliaslip.bench.control:measure_control",
+    "news": "magnoliaslip.bench.news:measure_spread",
     "resident": "magnoliaslip.bench.resident:measure_resident",
 }
 
--- a/src/magnoliaslip/bench/flow_load.py
+++ b/src/magnoliaslip/bench/flow_load.py
@@ -12,6 +12,7 @@
     reverse_key,
     service_key,
 )
+from magnoliaslip.proof.network import CALLERS
 
 FLOW_S = 1.5  # from the opening packet to the end
 PAYLOAD = b"p" * 100
--- /dev/null
+++ b/src/magnoliaslip/bench/formulas.py
@@ -0,0 +1,99 @@
+"""The formulas of docs/CAPACITY.md, from measured slopes to the two-year size."""
+
+from dataclasses import dataclass
+
+from magnoliaslip.peering.node import HEARTBEAT_S
+from magnoliaslip.peering.platform_feed import POLL_S, WATCH_WAIT_S
+from magnoliaslip.peering.platform_pace import WATCHERS_PER_ZONE
+
+KEYS_WATCHED = 2  # ``index`` and ``instances``
+DAY_S = 86_400.0
+CONTROL_LIMIT_BYTES_S = 4_000.0
+
+
+@dataclass(slots=True, frozen=True)
+class HeartbeatCost:
+    """Bytes of a heartbeat, frame included.
+
+    Attributes:
+        own: Bytes without the names of heard members.
+        name: Bytes for the name of each heard member.
+    """
+
+    own: float
+    name: float
+
+    @classmethod
+    def fit(
+        cls, first: tuple[int, float], second: tuple[int, float]
+    ) -> "HeartbeatCost":
+        """Solve for both from bytes a second of an instance in two group sizes.
+
+        Args:
+            first: Members and bytes a second.
+            second: The same of another group.
+
+        >>> cost = HeartbeatCost(own=50.0, name=8.0)
+        >>> rates = [(n, cost.bytes_per_s(n)) for n in (7, 100)]
+        >>> HeartbeatCost.fit(*rates)
+        HeartbeatCost(own=50.0, name=8.0)
+        """
+        (few, few_rate), (many, many_rate) = first, second
+        few_bytes = few_rate * HEARTBEAT_S / (few - 1)
+        many_bytes = many_rate * HEARTBEAT_S / (many - 1)
+        name = (many_bytes - few_bytes) / (many - few)
+        return cls(few_bytes - name * (few - 1), name)
+
+    def bytes_per_s(self, members: int) -> float:
+        """Return bytes a second of one instance in a group where all talk to all.
+
+        >>> HeartbeatCost(own=40.0, name=10.0).bytes_per_s(3)
+        240.0
+        """
+        peers = members - 1
+        return peers / HEARTBEAT_S * (self.own + self.name * peers)
+
+    def largest_group(self, limit: float = CONTROL_LIMIT_BYTES_S) -> int:
+        """Return the most members that keep within bytes a second.
+
+        >>> HeartbeatCost(own=40.0, name=10.0).largest_group(240.0)
+        3
+        """
+        members = 1
+        while self.bytes_per_s(members + 1) <= limit:
+            members += 1
+        return members
+
+
+def platform_reads_per_s(instances: int, zones: int) -> float:
+    """Return the reads a second of a fleet without news.
+
+    Each watcher holds two watches, and a waiting watch is one read; every instance
+    polls both keys.
+
+    >>> round(platform_reads_per_s(12_000, 31))
+    862
+    """
+    watchers = min(instances, WATCHERS_PER_ZONE * zones)
+    watching = watchers * KEYS_WATCHED / WATCH_WAIT_S
+    return watching + instances * KEYS_WATCHED / POLL_S
+
+
+def versions_in_window(changes_per_day: float, window_s: float) -> float:
+    """Return how many versions a history window holds.
+
+    >>> versions_in_window(37_000, 3_600.0) > 1_500
+    True
+    """
+    return changes_per_day / DAY_S * window_s
+
+
+def burst_seconds(
+    exceptions: float, bytes_each: float, limit: float = CONTROL_LIMIT_BYTES_S
+) -> float:
+    """Return how long a sender within its limit needs for exceptions.
+
+    >>> burst_seconds(1_000, 40.0)
+    10.0
+    """
+    return exceptions * bytes_each / limit
--- /dev/null
+++ b/src/magnoliaslip/bench/news.py
@@ -0,0 +1,199 @@
+"""How long a change takes to every instance, and instances to be ready."""
+
+from concurrent.futures import ThreadPoolExecutor
+from logging import CRITICAL, disable
+
+from anyio import sleep
+
+from magnoliaslip.bench.child import call_in_child
+from magnoliaslip.bench.report import Figure
+from magnoliaslip.bench.sim_fleet import SimFleet, run_fleet
+from magnoliaslip.bench.tables import PublishedTables
+from magnoliaslip.proof.network import LinkQuality
+
+# Members, zones, repetitions; all talk to all, which bounds the size that can run.
+FLEETS = ((7, 4, 5), (20, 4, 3), (40, 4, 2))
+LOSSY = LinkQuality(jitter_s=0.02, loss=0.03, duplicate=0.01, control_faults=0.02)
+WARM_UP_S = 5.0
+CHANGES = 8
+CUT_S = 5.0
+LIMIT_S = 40.0
+# Instances that share a rack, and a zone of a fleet of 20 in 4 zones.
+START_FLEET = 20
+START_ZONES = 4
+RACK = 4
+START_SERVERS = 1_000
+READS_FLEET = (20, 4)
+READS_WINDOW_S = 60.0
+REPETITIONS = 3
+PARALLEL = 4
+
+
+def measure_news(instances: int, zones: int, seed: int) -> list[float]:
+    """Publish changes to a fleet over lossy links.
+
+    Returns:
+        The longest time of a change to all instances; the time to all outside a zone
+        that is cut off; and the time to that zone's instances after the cut.
+    """
+    disable(CRITICAL)
+    tables = PublishedTables(110, zones=zones)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        names = list(fleet.entries)
+        fleet.network.set_quality(LOSSY)
+        fleet.start(names)
+        await sleep(WARM_UP_S)
+        longest = 0.0
+        for _ in range(CHANGES):
+            await sleep(fleet.rng.uniform(0, 1))
+            fleet.publish("pools/0")
+            longest = max(
+                longest, await fleet.wait(lambda: fleet.in_force(names), LIMIT_S)
+            )
+        inside = [n for n in names if fleet.entries[n].zone == tables.zones[0]]
+        outside = [n for n in names if n not in inside]
+        fleet.network.cut_zone(tables.zones[0])
+        await sleep(fleet.rng.uniform(0, 1))
+        fleet.publish("pools/0")
+        rest = await fleet.wait(lambda: fleet.in_force(outside), LIMIT_S)
+        await sleep(CUT_S)
+        fleet.network.heal_zone(tables.zones[0])
+        return [
+            longest,
+            rest,
+            await fleet.wait(lambda: fleet.in_force(inside), LIMIT_S),
+        ]
+
+    return run_fleet(scenario, instances=instances, tables=tables, seed=seed)
+
+
+def measure_start(count: int, platform_up: bool, seed: int) -> list[float]:
+    """Start instances at once beside a running fleet.
+
+    Args:
+        count: Instances that start; a whole zone when it equals the zone's size.
+        platform_up: Whether the platform answers them.
+        seed: Seed of everything random.
+
+    Returns:
+        Seconds until all serve; control bytes of the whole fleet for each in that
+        time, those of a running fleet of that size left out; reads of each.
+    """
+    disable(CRITICAL)
+    tables = PublishedTables(START_SERVERS, zones=START_ZONES)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        names = list(fleet.entries)
+        zone = [n for n in names if fleet.entries[n].zone == tables.zones[1]]
+        late = zone[:count]
+        early = [n for n in names if n not in late]
+        fleet.start(early)
+        await sleep(WARM_UP_S)
+        fleet.platform.down = not platform_up
+        sent, reads = fleet.sent_bytes.copy(), fleet.platform.reads.total()
+        fleet.start(late)
+        seconds = await fleet.wait(lambda: fleet.serving(late), LIMIT_S)
+        own = fleet.sent_bytes.total() - sent.total()
+        reads = fleet.platform.reads.total() - reads
+        before = fleet.sent_bytes.total()
+        await sleep(seconds)
+        steady = fleet.sent_bytes.total() - before
+        return [seconds, (own - steady) / count, reads / count]
+
+    return run_fleet(scenario, instances=START_FLEET, tables=tables, seed=seed)
+
+
+def measure_cold_fleet(instances: int, seed: int) -> list[float]:
+    """Start a whole fleet at once; return seconds to ready and reads of each."""
+    disable(CRITICAL)
+    tables = PublishedTables(START_SERVERS, zones=START_ZONES)
+
+    async def scenario(fleet: SimFleet) -> list[float]:
+        names = list(fleet.entries)
+        fleet.start(names)
+        seconds = await fleet.wait(lambda: fleet.serving(names), LIMIT_S)
+        return [seconds, fleet.platform.reads.total() / instances]
+
+    return run_fleet(scenario, instances=instances, tables=tables, seed=seed)
+
+
+def measure_reads(instances: int, zones: int, seed: int) -> float:
+    """Return the platform's reads a second in a fleet without news."""
+    disable(CRITICAL)
+    tables = PublishedTables(110, zones=zones)
+
+    async def scenario(fleet: SimFleet) -> float:
+        fleet.start(list(fleet.entries))
+        await sleep(WARM_UP_S)
+        before = fleet.platform.reads.total()
+        await sleep(READS_WINDOW_S)
+        return (fleet.platform.reads.total() - before) / READS_WINDOW_S
+
+    return run_fleet(scenario, instances=instances, tables=tables, seed=seed)
+
+
+def measure_spread() -> list[Figure]:
+    """Measure news, starts and platform reads."""
+    with ThreadPoolExecutor(PARALLEL) as pool:
+
+        def start(name: str, *args: float, count: int = REPETITIONS) -> list:
+            return [
+                pool.submit(call_in_child, __name__, name, *args, seed)
+                for seed in range(count)
+            ]
+
+        reads = {
+            case: start("measure_reads", *case, count=2)
+            for case in (READS_FLEET, (7, 4))
+        }
+        news = {
+            size: start("measure_news", size, zones, count=count)
+            for size, zones, count in reversed(FLEETS)
+        }
+        starts = {
+            (name, up): start("measure_start", count, up)
+            for name, count in (
+                ("one", 1),
+                ("rack", RACK),
+                ("zone", START_FLEET // START_ZONES),
+            )
+            for up in (True, False)
+        }
+        cold = start("measure_cold_fleet", START_FLEET)
+        figures = []
+
+        def add(name: str, runs: list, *columns: tuple[str, str]) -> None:
+            rows = [run.result() for run in runs]
+            for n, (column, unit) in enumerate(columns):
+                values = [row[n] for row in rows]
+                figures.append(Figure.of(f"{name}/{column}", values, unit))
+
+        for size, runs in sorted(news.items()):
+            add(
+                f"news/{size}",
+                runs,
+                ("all", "s, worst of 8 changes"),
+                ("outside_cut_zone", "s"),
+                ("cut_zone_after_heal", "s"),
+            )
+        for (name, up), runs in starts.items():
+            add(
+                f"start/{name}/platform_{'up' if up else 'down'}",
+                runs,
+                ("ready", "s"),
+                ("bytes", "B/instance"),
+                ("reads", "reads/instance"),
+            )
+        add(
+            f"start/fleet_of_{START_FLEET}",
+            cold,
+            ("ready", "s"),
+            ("reads", "reads/instance"),
+        )
+        for (size, zones), runs in reads.items():
+            values = [run.result() for run in runs]
+            figures.append(
+                Figure.of(f"reads/{size}_in_{zones}_zones", values, "reads/s")
+            )
+        return figures
--- /dev/null
+++ b/tests/bench/test_sim_fleet.py
@@ -0,0 +1,44 @@
+"""Tests of the simulated fleet that the control slopes come from."""
+
+from magnoliaslip.bench.control import measure_flows, measure_group
+from magnoliaslip.bench.memory import hold_flows, mid_flow_packet
+from magnoliaslip.bench.news import measure_start
+from magnoliaslip.bench.tables import SERVERS_PER_SHARD, PublishedTables
+from magnoliaslip.config.store import SnapshotStore
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.packet.flow_key import is_plain
+
+
+def test_tables_of_two_shards_come_into_force():
+    """Guards against generated tables that the store would reject."""
+    tables = PublishedTables(SERVERS_PER_SHARD + 10, zones=2)
+    store = SnapshotStore(clock=ManualClock())
+    assert store.offer(tables.values()).version == 1
+    change = tables.values("pools/1")
+    assert sorted(change) == ["index", "pools/1"]
+    assert store.offer(change).version == 2
+
+
+def test_control_bytes_do_not_depend_on_the_machine():
+    """Guards against a simulated figure that differs between runs of one seed."""
+    assert measure_group(7, 3)[1] == measure_group(7, 3)[1] > 0
+
+
+def test_flows_of_the_load_are_accepted():
+    """Guards against slopes of a load whose opening packets are dropped."""
+    sent, accepted = measure_flows(5.0, 1, 1)
+    assert accepted > 0.95
+    assert sent > 0
+
+
+def test_an_instance_starts_without_the_platform():
+    """Guards against a start time that is the limit of the wait."""
+    seconds, _, reads = measure_start(1, False, 1)
+    assert seconds < 10
+    assert reads == 0
+
+
+def test_flow_memory_counts_held_flows():
+    """Guards against packets that the router drops instead of recording."""
+    assert is_plain(mid_flow_packet(bytes(12)))
+    assert hold_flows(2_000, 0.1, 1) >= 0
