Let a site name the peers in the settings of instances

Cause: an instance that starts while the platform is down learns only from the peers of its settings, and the lab could not set that up. Change: the option seed_peers of a site writes all other instances into the settings of each one; it is off by default, so the demo is as before.

--- a/src/magnoliaslip/lab/site.py
+++ b/src/magnoliaslip/lab/site.py
@@ -53,6 +53,8 @@
         record_dir: Directory for history records, or None.
         log_dir: Directory for the output of all processes, or None.
         command: Makes the command line of an instance from its settings file.
+        seed_peers: Whether the settings of each instance name all the others, whom
+            it asks while the platform does not answer.
     """
 
     callers: int = 2
@@ -61,6 +63,7 @@
     record_dir: Path | None = None
     log_dir: Path | None = None
     command: Command = instance_command
+    seed_peers: bool = False
 
 
 class Site:
@@ -267,26 +270,31 @@
         await self.publish_instances()
 
     def _make_instances(self) -> None:
-        for n, (instance_id, zone) in enumerate(self.deployment.instances(), 1):
-            host = CONTROL_HOST.format(n)
-            entry = InstanceEntry(
+        entries = [
+            InstanceEntry(
                 instance_id,
                 zone,
-                data=self._ports.pick(host),
+                data=self._ports.pick(CONTROL_HOST.format(n)),
                 control=self._ports.pick(FRONT_HOST.format(n)),
             )
+            for n, (instance_id, zone) in enumerate(self.deployment.instances(), 1)
+        ]
+        for n, entry in enumerate(entries, 1):
+            instance_id, zone = entry.id, entry.zone
             values: dict[str, object] = {
                 "egress": str(self._fabric["egress"]),
                 "platform": [str(self._platform[zone])],
                 "allowed_networks": [FRONT_NETWORK],
             }
+            if self._options.seed_peers:
+                values["peers"] = [_peer_line(e) for e in entries if e is not entry]
             if self._options.record_dir:
                 values["record_to"] = self._record_to(instance_id)
             self.instances[instance_id] = InstanceProcess(
                 entry,
                 self._work_dir / f"{instance_id}.json",
                 values,
-                control=self._ports.pick(host),
+                control=self._ports.pick(CONTROL_HOST.format(n)),
                 children=self._children,
                 command=self._options.command,
             )
@@ -381,6 +389,15 @@
         return await self._start("fabric", "fabric", "--settings", str(path))
 
 
+def _peer_line(entry: InstanceEntry) -> dict[str, str]:
+    return {
+        "id": entry.id,
+        "zone": entry.zone,
+        "data": str(entry.data),
+        "control": str(entry.control),
+    }
+
+
 def _caller_host(number: int) -> str:
     return f"10.1.0.{number}"
 
