Start no slow start for servers that only answered late

Cause: in a rolling restart on a loaded machine (load 48 on 10 cores) 537 of 1110 requests were refused although no server had restarted. Servers that got three copies of a SYN before their answer arrived counted as refusing, and as cold once they answered (MS702). Reports of it stayed at all other instances, which noted the same servers as cold with their first open after a takeover. Change: silence keeps new flows away but shows no restart; a reported refusal ends 3 s after its backoff, an own one after 60 s. The new router test fails before and passes after.

--- a/src/magnoliaslip/placement/evidence.py
+++ b/src/magnoliaslip/placement/evidence.py
@@ -9,6 +9,8 @@
 # One open at a time tests a server whose backoff ended; a test without an answer
 # is given up after this time.
 TRIAL_SECONDS = 3.0
+# A server that was tested this long after its refusals has had time for a slow start.
+REFUSAL_SECONDS = 60.0
 # This many resets of unknown connections within the time show a restart; single
 # ones also follow from a connection that timed out on one side.
 RESTART_RESETS = 3
@@ -16,10 +18,12 @@
 
 
 class _Suspicion:
-    __slots__ = ("backoff", "retry_at", "trial_until")
+    __slots__ = ("backoff", "refused_until", "retry_at", "trial_until")
 
     def __init__(self) -> None:
         self.backoff = FIRST_BACKOFF
+        # Until when an accepted open shows that the server accepts again.
+        self.refused_until = 0.0
         self.retry_at = 0.0
         self.trial_until = 0.0
 
@@ -38,27 +42,37 @@
         self._suspicions: dict[int, _Suspicion] = {}
         self._resets: dict[int, deque[float]] = {}
 
-    def note_refused(self, number: int, now: float) -> float:
+    def note_refused(self, number: int, now: float, *, silent: bool = False) -> float:
         """Note a refused or ignored open.
 
+        Args:
+            number: Number of the server.
+            now: Monotonic time in seconds.
+            silent: The open was ignored. The path may have lost it or the answer may
+                be late, so this does not show a server that stopped and started.
+
         Returns:
             Seconds until opens are tried again.
         """
         suspicion = self._suspicions.get(number)
+        former = suspicion is not None
         if suspicion is None:
             suspicion = self._suspicions[number] = _Suspicion()
-        elif now < suspicion.retry_at:
+        if not silent:
+            suspicion.refused_until = now + REFUSAL_SECONDS
+        if now < suspicion.retry_at:
             return suspicion.retry_at - now  # opens in flight when it began
-        else:
+        if former:
             suspicion.backoff = min(MAX_BACKOFF, suspicion.backoff * 2)
         delay = suspicion.backoff * self._rng.uniform(1 - JITTER, 1 + JITTER)
         suspicion.retry_at = now + min(MAX_BACKOFF, delay)
         suspicion.trial_until = 0.0
         return suspicion.retry_at - now
 
-    def note_accepted(self, number: int) -> bool:
+    def note_accepted(self, number: int, now: float) -> bool:
         """Note an accepted open; returns whether the server refused before."""
-        return self._suspicions.pop(number, None) is not None
+        suspicion = self._suspicions.pop(number, None)
+        return suspicion is not None and now < suspicion.refused_until
 
     def note_placed(self, number: int, now: float) -> None:
         """Note that an open was placed; it is the test of a suspected server."""
@@ -80,10 +94,17 @@
         return True
 
     def take_report(self, number: int, refusing_ms: int, now: float) -> None:
-        """Take over what another owner reports about a server."""
-        if number not in self._suspicions:
+        """Take over what another owner reports about a server.
+
+        The other owner sees when the server accepts again. Its report of a refusal
+        therefore lapses; a slice that moves here much later is no reason for a slow
+        start.
+        """
+        suspicion = self._suspicions.get(number)
+        if suspicion is None:
             suspicion = self._suspicions[number] = _Suspicion()
             suspicion.retry_at = now + min(MAX_BACKOFF, refusing_ms / 1000)
+            suspicion.refused_until = suspicion.retry_at + TRIAL_SECONDS
 
     def refusing_ms(self, number: int, now: float) -> int:
         """Return milliseconds until opens are tried again; 0 when accepting."""
--- a/src/magnoliaslip/placement/opener.py
+++ b/src/magnoliaslip/placement/opener.py
@@ -83,7 +83,8 @@
                 self._forwarder.drop(packet, "no_backend_server")
             return
         if pending.sent + 1 == SILENT_AFTER_PACKETS:
-            self.note_refused(state.services[record.service], record.server, now)
+            service = state.services[record.service]
+            self.note_refused(service, record.server, now, silent=True)
         self._send_open(pending, now, reason=record_reason(record))
 
     def release(self, now: float) -> None:
@@ -163,10 +164,12 @@
             return True
         return False
 
-    def note_refused(self, service: Service, number: int, now: float) -> None:
+    def note_refused(
+        self, service: Service, number: int, now: float, *, silent: bool = False
+    ) -> None:
         """Note evidence against a server; logged when it is new."""
         new = not service.evidence.refusing_ms(number, now)
-        delay = service.evidence.note_refused(number, now)
+        delay = service.evidence.note_refused(number, now, silent=silent)
         if new:
             log_event(
                 _logger,
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -160,7 +160,7 @@
             )
             state.opens.remove(packet.key)
             service = state.services[record.service]
-            if service.evidence.note_accepted(record.server):
+            if service.evidence.note_accepted(record.server, now):
                 self._start_cold(service, record.server, now, Event.SERVER_ACCEPTING)
         self._forwarder.to_caller(packet)
 
--- a/tests/placement/test_evidence.py
+++ b/tests/placement/test_evidence.py
@@ -32,9 +32,30 @@
     evidence.note_placed(3, now)
     assert evidence.blocks(3, now + 0.1)
     assert not evidence.blocks(3, now + 3.1)
-    assert evidence.note_accepted(3)
+    assert evidence.note_accepted(3, now)
     assert not evidence.blocks(3, now + 0.1)
-    assert not evidence.note_accepted(3)
+    assert not evidence.note_accepted(3, now)
+
+
+def test_late_answer_shows_no_restart():
+    # Guards against the slow start of a server whose answers were only late.
+    evidence = Evidence(Random(1))
+    evidence.note_refused(3, 0.0, silent=True)
+    assert evidence.blocks(3, 0.1)
+    assert not evidence.note_accepted(3, 0.1)
+    evidence.note_refused(3, 1.0, silent=True)
+    evidence.note_refused(3, 1.1)
+    assert evidence.note_accepted(3, 1.2)
+
+
+def test_reported_refusal_lapses():
+    # Guards against the slow start of servers that refused long ago, when a slice
+    # moves to an instance that heard of the refusals but not of their end.
+    evidence = Evidence(Random(1))
+    for number in (3, 4):
+        evidence.take_report(number, 1_000, 0.0)
+    assert evidence.note_accepted(3, 1.5)
+    assert not evidence.note_accepted(4, 30.0)
 
 
 def test_evidence_is_ignored_when_most_of_a_pool_looks_bad():
--- a/tests/placement/test_router.py
+++ b/tests/placement/test_router.py
@@ -291,6 +291,23 @@
     assert name not in fleet.servers_of(other)
 
 
+def test_server_that_answers_late_stays_warm():
+    # Guards against a busy machine on which every server that answers the third
+    # copy of a SYN falls into a slow start, until all opens are refused.
+    fleet = Fleet(1)
+    key = flow(1)
+    server = fleet.servers[fleet.default(key)]
+    server.mode = "silent"
+    for _ in range(3):
+        fleet.run(0.2)
+        fleet.syn(key)
+    server.mode = "accept"
+    fleet.syn(key)
+    assert fleet.established(key)
+    servers = fleet.nodes["i1"].router.status().servers
+    assert all(each.state != "cold" for each in servers)
+
+
 def test_second_syn_ack_with_another_number_is_dropped():
     # Guards against a caller that establishes with a server which is not the one
     # of its record.
