--- /dev/null
+++ b/tests/processes/scenario.py
@@ -0,0 +1,136 @@
+"""Runs a site of real processes under load and judges its merged history."""
+
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from time import monotonic
+
+from anyio import fail_after, run, sleep
+
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.group import Member, MemberState
+from magnoliaslip.core.recorder import Recorder
+from magnoliaslip.lab.children import Child
+from magnoliaslip.lab.deployment import DEPLOYMENTS
+from magnoliaslip.lab.load import LoadConfig
+from magnoliaslip.lab.model_loop import open_recorder
+from magnoliaslip.lab.report import SiteReport, collect_report
+from magnoliaslip.lab.site import Site, SiteOptions, open_site
+from magnoliaslip.placement.slices import choose_holders
+from magnoliaslip.proof.checker import Checker, Verdict
+from magnoliaslip.proof.history import History
+
+LIMIT_S = 75.0  # of a whole run
+WAIT_S = 20.0  # of each wait on a condition
+POLL_S = 0.05
+LOAD = LoadConfig(sessions_per_s=6, feed_s=(4, 20), think_s=(0.1, 0.5))
+
+
+@dataclass(slots=True)
+class Scenario:
+    """What a run does while its load goes on."""
+
+    site: Site
+    recorder: Recorder
+
+    def fault(self, fault: str, target: str, phase: str = "begin") -> None:
+        """Record a fault in the terms of the checker."""
+        self.recorder.record("fault", fault=fault, target=target, phase=phase)
+
+    def owner(self, service: str) -> str:
+        """Return the instance that owns the first slice while all of them serve."""
+        members = [
+            Member(entry.id, entry.zone, MemberState.SERVING)
+            for entry in sorted(self.site.tables.instances, key=lambda each: each.id)
+        ]
+        holders = choose_holders(service, 0, members)
+        assert holders is not None
+        return holders.owner
+
+    async def count(self, name: str) -> int:
+        """Return a counter, summed over the callers."""
+        states = await self.site.caller_states()
+        return sum(state["counters"].get(name, 0) for state in states)
+
+    async def wait_served(self, more: int) -> None:
+        """Wait until the callers got this many further answers."""
+        goal = await self.count("answered") + more
+
+        async def served() -> bool:
+            return await self.count("answered") >= goal
+
+        await wait_until(served, f"{more} further answers")
+
+
+@dataclass(slots=True, frozen=True)
+class Outcome:
+    """Report, verdict and history of a run whose processes have all ended."""
+
+    report: SiteReport
+    verdict: Verdict
+    history: History
+    children: list[Child]
+
+    def assert_rules_kept(self) -> None:
+        """Fail with the first violations of each broken rule."""
+        found = [str(v) for each in self.verdict.violations.values() for v in each[:3]]
+        assert self.verdict.passed, "\n".join(found)
+        assert all(child.exit_code is not None for child in self.children)
+
+    def assert_all_answered(self) -> None:
+        """Fail when a request was not answered in full, or a flow broke."""
+        self.assert_rules_kept()
+        assert self.report.is_complete, "\n".join(self.report.lines())
+        assert self.report.flows_broken == self.report.refused == 0, self.report
+
+
+async def wait_until(condition: Callable[[], Awaitable[bool]], what: str) -> None:
+    """Poll a condition; fails when it does not hold in time."""
+    deadline = monotonic() + WAIT_S
+    while not await condition():
+        assert monotonic() < deadline, f"waited {WAIT_S} s for {what}"
+        await sleep(POLL_S)
+
+
+def run_scenario(
+    directory: Path,
+    act: Callable[[Scenario], Awaitable[None]],
+    *,
+    deployment: str = "karaganda",
+    seed_peers: bool = False,
+) -> Outcome:
+    """Run ``act`` under load and judge what the processes recorded.
+
+    Args:
+        directory: Receives history records and logs.
+        act: Called once the load has begun; the load ends when it returns.
+        deployment: What is set up.
+        seed_peers: Whether the settings of instances name their peers.
+    """
+    options = SiteOptions(
+        load=LOAD, record_dir=directory, log_dir=directory, seed_peers=seed_peers
+    )
+
+    async def bounded() -> tuple[SiteReport, list[Child]]:
+        clock = SystemClock()
+        with (
+            fail_after(LIMIT_S),
+            open_recorder(directory / "lab.jsonl", who="lab", clock=clock) as recorder,
+        ):
+            async with open_site(DEPLOYMENTS[deployment], options) as site:
+                scenario = Scenario(site, recorder)
+                await site.start_load()
+                await scenario.wait_served(30)
+                await act(scenario)
+                await site.stop_load(timeout_s=WAIT_S)
+                report = await collect_report(site, seconds=0)
+                return report, site._children._children
+
+    report, children = run(bounded)
+    lines = [
+        line
+        for path in sorted(directory.glob("*.jsonl"))
+        for line in path.read_bytes().splitlines()
+    ]
+    history = History.read(lines)
+    return Outcome(report, Checker().check(history), history, children)
--- /dev/null
+++ b/tests/processes/test_kill.py
@@ -0,0 +1,36 @@
+from tests.processes.scenario import WAIT_S, run_scenario, wait_until
+
+
+def test_killed_owner_breaks_no_flow(tmp_path):
+    """Guards against flows that only the killed owner of their slice could serve."""
+    victim = []
+
+    async def act(scenario):
+        site = scenario.site
+        name = scenario.owner("kit-desk")
+        victim.append(name)
+        scenario.fault("kill", name)
+        await site.kill_instance(name)
+
+        async def unlisted():
+            statuses = [
+                await proc.status()
+                for proc in site.instances.values()
+                if proc.is_running
+            ]
+            return all(
+                status and name not in {m["id"] for m in status["members"]}
+                for status in statuses
+            )
+
+        await wait_until(unlisted, f"every view without {name}")
+        await scenario.wait_served(60)
+        await site.instances[name].child.wait_ended(WAIT_S)
+        assert site.instances[name].child.exit_code == -9
+        await site.start_instance(name)
+        await scenario.wait_served(60)
+
+    outcome = run_scenario(tmp_path, act)
+    outcome.assert_all_answered()
+    assert outcome.report.restarts[victim[0]] == 1
+    assert any(r.who == victim[0] for r in outcome.history.of("forward"))
--- /dev/null
+++ b/tests/processes/test_signals.py
@@ -0,0 +1,39 @@
+from tests.processes.scenario import run_scenario, wait_until
+
+EXIT_INTERRUPTED = 130
+AT_ONCE_S = 1.5  # below the 2 s for which a leaving instance stays at least
+
+
+def test_first_sigterm_drains_and_second_ends_at_once(tmp_path):
+    """Guards against a planned stop that cuts requests, fails, or can't be cut short.
+
+    The instance that gets one signal has gone before the other one gets two.
+    """
+    codes = []
+
+    async def act(scenario):
+        site = scenario.site
+        drained, ended = scenario.owner("kit-desk"), scenario.owner("spawn-lab")
+        if ended == drained:
+            ended = next(name for name in site.instances if name != drained)
+        await site.stop_instance(drained)
+        codes.extend(site.instances[drained].exit_codes)
+        await scenario.wait_served(30)
+
+        child = site.instances[ended].child
+
+        async def leaving():
+            return any("state=leaving" in line for line in child.lines)
+
+        child.terminate()
+        await wait_until(leaving, f"{ended} to leave")
+        scenario.fault("kill", ended)
+        child.terminate()
+        await child.wait_ended(AT_ONCE_S)
+        codes.append(child.exit_code)
+        await site.kill_instance(ended)
+        await scenario.wait_served(30)
+
+    outcome = run_scenario(tmp_path, act)
+    outcome.assert_all_answered()
+    assert codes == [0, EXIT_INTERRUPTED]
