--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -24,6 +24,7 @@
 from magnoliaslip.placement.flow_packet import FlowPacket
 from magnoliaslip.placement.forwarder import Forwarder
 from magnoliaslip.placement.handover import Handover
+from magnoliaslip.placement.health_intake import HealthIntake
 from magnoliaslip.placement.load import WorkObserver
 from magnoliaslip.placement.owner import Owner
 from magnoliaslip.placement.peer_exchange import PeerExchange
@@ -94,6 +95,7 @@
         self._owner = Owner(state, self._forwarder, self._keeper)
         self._direct = DirectPaths(state, self._keeper)
         self._queue = SuspectQueue()
+        self.health = HealthIntake(state)
 
     @property
     def epoch(self) -> int:
@@ -439,9 +441,9 @@
     def _update_references(self) -> None:
         state = self._state
         versions = set(self._exchange.reported.values())
+        own = state.snapshot.version
+        state.behind = any(version > own for version, _ in versions)
         for service in state.services:
-            if service.epochs.epochs and service.take_versions(
-                versions, state.snapshot.version
-            ):
+            if service.epochs.epochs and service.take_versions(versions, own):
                 self._window.review(service)
                 state.epoch += 1
