--- a/src/magnoliaslip/bench/fleet.py
+++ b/src/magnoliaslip/bench/fleet.py
@@ -11,8 +11,8 @@
 )
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
-from magnoliaslip.core.group import GroupView, Member
-from magnoliaslip.core.links import PacketLink, PeerLink
+from magnoliaslip.core.group import GroupView, Member, MemberState
+from magnoliaslip.core.links import Direction, PacketLink, PeerLink
 from magnoliaslip.core.recorder import NullRecorder
 from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
 from magnoliaslip.placement.router import FlowRouter
@@ -29,6 +29,23 @@
         """Discard the message."""
 
 
+class NullPacketLink(PacketLink):
+    """Discards packets."""
+
+    __slots__ = ()
+
+    def send_to_server(self, server: Address, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def send_to_caller(self, packet: bytes) -> None:
+        """Discard the packet."""
+
+    def relay(
+        self, instance_id: str, packet: bytes, *, direction: Direction, hops: int
+    ) -> None:
+        """Discard the packet."""
+
+
 def one_service(service: Address, server: Address, *, servers: int = 1) -> Snapshot:
     """Build a snapshot of one service whose servers share an address."""
     pool = Pool(
@@ -44,18 +61,32 @@
 
 
 def build_router(
-    clock: Clock, packets: PacketLink, *, service: Address, server: Address
+    clock: Clock,
+    packets: PacketLink,
+    *,
+    service: Address,
+    server: Address,
+    owner: bool = True,
+    peers: PeerLink | None = None,
 ) -> FlowRouter:
-    """Build the router of an instance that is alone in its group."""
+    """Build the router of an instance that owns every slice, or none.
+
+    Without slices it has no certificates either, so it relays each packet.
+    """
+    own = "i1"
     router = FlowRouter(
-        "i1",
+        own,
         clock=clock,
         packets=packets,
-        peers=NullPeerLink(),
+        peers=peers or NullPeerLink(),
         recorder=NullRecorder(),
         rng=Random(SEED),
     )
-    router.apply_view(GroupView(1, {"i1": Member("i1", "a")}))
+    members = {own: Member(own, "a")}
+    if not owner:
+        members[own] = Member(own, "a", MemberState.LEAVING)
+        members["i2"] = Member("i2", "a")
+    router.apply_view(GroupView(1, members))
     router.apply_history(
         [HistoryEntry(one_service(service, server), clock.monotonic())]
     )
--- a/src/magnoliaslip/lab/backend.py
+++ b/src/magnoliaslip/lab/backend.py
@@ -30,6 +30,7 @@
 from magnoliaslip.packet.segment import Segment
 
 REPORT_INTERVAL_S = 1.0
+WARM_UPTIME_S = 3600.0  # of a server that was warm before the lab started it
 SLOTS_NOT_STATED = 4
 CONNECTIONS_NOT_STATED = 2000
 WORK_SPREAD = (0.5, 1.5)  # of the mean
@@ -93,6 +94,8 @@
         recorder: Receives the history records of a backend server.
         cold: Whether it starts cold.
         slot_cfg: Replaces the bounds that follow from ``server``.
+        work_factor: Multiplies the working times, so that few requests make a high
+            load.
     """
 
     def __init__(
@@ -107,6 +110,7 @@
         recorder: Recorder | None = None,
         cold: bool = False,
         slot_cfg: SlotConfig | None = None,
+        work_factor: float = 1.0,
     ) -> None:
         self.server = server
         self.service = service
@@ -124,6 +128,7 @@
         self._flows: dict[FlowKey, _Flow] = {}
         self._silent_flows: set[FlowKey] = set()
         self._deadlines: DeadlineQueue[_Timer] = DeadlineQueue()
+        self._work_factor = work_factor
         self._draining = False
         self._started_at = clock.monotonic()
         self._last_state: tuple[ServerState, int] | None = None
@@ -221,7 +226,8 @@
 
     def _begin(self, *, cold: bool) -> None:
         now = self._clock.monotonic()
-        self._started_at = now
+        # A server that starts warm stands for one that has run for long.
+        self._started_at = now if cold else now - WARM_UPTIME_S
         self._slots.restart(cold_since=now if cold else None)
         self._last_state = None
         self._note_state()
@@ -337,7 +343,7 @@
             return
         self._record_request(job, "start")
         work = WORK_S[job.request.kind] * self._rng.uniform(*WORK_SPREAD)
-        self._deadlines.set(_Timer("work", job), now + work)
+        self._deadlines.set(_Timer("work", job), now + work * self._work_factor)
 
     def _release(self) -> None:
         for job in self._slots.release(now=self._clock.monotonic()):
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -160,7 +160,7 @@
             )
             state.opens.remove(packet.key)
             service = state.services[record.service]
-            if service.evidence.note_accepted(record.server):
+            if service.evidence.note_accepted(record.server, now):
                 self._start_cold(service, record.server, now, Event.SERVER_ACCEPTING)
         self._forwarder.to_caller(packet)
 
@@ -184,7 +184,11 @@
             self._forwarder.drop(packet, "uncertain_reset")
             return
         if record is not None:
-            known = record.flags & (FlowFlag.ESTABLISHED | FlowFlag.ENDED)
+            # A guess may be wrong: after a zone is taken out, packets of its flows
+            # reach servers that never knew them.
+            known = record.flags & (
+                FlowFlag.ESTABLISHED | FlowFlag.ENDED | FlowFlag.GUESSED
+            )
             if not packet.flags & ACK and known == FlowFlag.ESTABLISHED:
                 holder = state.services[record.service]
                 if holder.evidence.note_unknown_reset(record.server, now):
--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -8,6 +8,7 @@
 from magnoliaslip.placement.bucket_table import BUCKET_MASK
 from magnoliaslip.placement.epochs import EpochHistory
 from magnoliaslip.placement.evidence import Evidence
+from magnoliaslip.placement.health import HealthBook
 from magnoliaslip.placement.load import LoadBook, WorkObserver
 from magnoliaslip.placement.servers import ServerRegistry
 from magnoliaslip.placement.settings import PlacementConfig
@@ -32,6 +33,7 @@
         "avoid",
         "epochs",
         "evidence",
+        "health",
         "index",
         "load",
         "name",
@@ -63,6 +65,7 @@
         self.slices = SliceMap(name, instance_id)
         self.load = LoadBook(name, slow_start=cfg.slow_start, observer=observer)
         self.evidence = Evidence(rng)
+        self.health = HealthBook(slow_start=cfg.slow_start)
 
     def apply(
         self, version: int, since: float, pool: Pool | None, zones_out: frozenset[str]
@@ -86,6 +89,7 @@
         for number in former - now_in:
             self.load.forget(number)
             self.evidence.forget(number)
+            self.health.forget(number)
         return sorted(now_in - former)
 
     def apply_members(
