--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -8,6 +8,7 @@
 from magnoliaslip.placement.bucket_table import BUCKET_MASK
 from magnoliaslip.placement.epochs import EpochHistory
 from magnoliaslip.placement.evidence import Evidence
+from magnoliaslip.placement.health import HealthBook
 from magnoliaslip.placement.load import LoadBook, WorkObserver
 from magnoliaslip.placement.servers import ServerRegistry
 from magnoliaslip.placement.settings import PlacementConfig
@@ -24,11 +25,15 @@
         name: Name that routes refer to.
         pool: The pool in force; None when the service was removed.
         uniform: Whether every member has the same slices, as far as is known.
+        avoid: Zones that a member with an older version still takes to be out; it
+            would end the flows there.
     """
 
     __slots__ = (
+        "avoid",
         "epochs",
         "evidence",
+        "health",
         "index",
         "load",
         "name",
@@ -52,6 +57,7 @@
         self.name = name
         self.pool: Pool | None = None
         self.uniform = True
+        self.avoid: frozenset[str] = frozenset()
         self.servers = ServerRegistry(name)
         self.epochs = EpochHistory(
             self.servers, window=cfg.history_window, grace=cfg.direct_grace
@@ -59,6 +65,7 @@
         self.slices = SliceMap(name, instance_id)
         self.load = LoadBook(name, slow_start=cfg.slow_start, observer=observer)
         self.evidence = Evidence(rng)
+        self.health = HealthBook(slow_start=cfg.slow_start)
 
     def apply(
         self, version: int, since: float, pool: Pool | None, zones_out: frozenset[str]
@@ -82,6 +89,7 @@
         for number in former - now_in:
             self.load.forget(number)
             self.evidence.forget(number)
+            self.health.forget(number)
         return sorted(now_in - former)
 
     def apply_members(
@@ -106,6 +114,8 @@
             version <= own and self.epochs.same_slices(version)
             for version, _ in versions
         )
+        outs = [self.epochs.out_at(version) for version, _ in versions]
+        self.avoid = frozenset().union(*outs) - self.epochs.current.out
         return self.epochs.set_references(versions)
 
     def settled(self, bucket: int, now: float) -> bool:
