Keep messages to members that were just listed

Cause: an instance that joins asks its peers for exceptions when it gets the list, up to 0.2 s before it dials them. The questions were dropped and repeated after 1 s, so each restart took a second longer. Change: messages to any listed instance wait in the queue of the stream to come. The new test times out before and passes after.

--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -76,8 +76,14 @@
         self._queues: dict[str, SendQueue] = {}
 
     def send(self, instance_id: str, msg: PeerMessage) -> None:
-        """Queue a message; without a stream to the member it is dropped."""
+        """Queue a message; one to an unknown instance is dropped.
+
+        A member that was listed just now is dialled a little later. Its messages wait
+        meanwhile, else a joining instance would repeat its first questions.
+        """
         queue = self._queues.get(instance_id)
+        if queue is None and self._membership.entry(instance_id) is not None:
+            queue = self._queues[instance_id] = SendQueue()
         if queue is None:
             self._metrics.counters["peer_messages_unaddressed"] += 1
             return
@@ -121,6 +127,9 @@
                         wanted.add((peer, entry.control))
                 for target in scopes.keys() - wanted:
                     scopes.pop(target).cancel()
+                    self._queues.pop(target[0], None)
+                for peer in self._queues.keys() - {peer for peer, _ in wanted}:
+                    del self._queues[peer]
                 for peer, address in sorted(wanted - scopes.keys()):
                     scope = scopes[(peer, address)] = anyio.CancelScope()
                     tasks.start_soon(self._keep_stream, peer, address, scope)
@@ -130,7 +139,7 @@
         self, peer: str, address: Address, scope: anyio.CancelScope
     ) -> None:
         """Dial a peer, send what is queued, and dial again when the stream ends."""
-        queue = self._queues[peer] = SendQueue()
+        queue = self._queues.setdefault(peer, SendQueue())
         backoff = BACKOFF_MIN_S
         with scope:
             while True:
@@ -149,8 +158,6 @@
                 queue.clear()
                 await anyio.sleep(backoff * self._rng.uniform(0.5, 1.0))
                 backoff = min(2 * backoff, BACKOFF_MAX_S)
-        if self._queues.get(peer) is queue:
-            del self._queues[peer]
 
 
 class _PeerStream:
--- a/tests/peering/test_grpc_link.py
+++ b/tests/peering/test_grpc_link.py
@@ -91,6 +91,30 @@
     anyio.run(main)
 
 
+def test_message_to_a_member_that_was_just_listed_is_kept():
+    # Guards against an instance that joins a second late, because its questions to
+    # peers that it had just learned of were dropped.
+    async def main():
+        addresses = dict(zip(("i1", "i2"), free_addresses(2), strict=True))
+        first = End("i1", addresses, known=("i1",))
+        second = End("i2", addresses)
+        msg = PeerMessage(sender="i1", incarnation=1, heartbeat=Heartbeat(number=3))
+        with anyio.fail_after(LIMIT_S):
+            async with anyio.create_task_group() as tasks:
+                for end in (first, second):
+                    tasks.start_soon(end.link.run, end.on_message)
+                other = PeerMessage(sender="i2")
+                await send_until(second.link, "i1", other, lambda: first.received)
+                entries = [InstanceEntry(n, "a", a, a) for n, a in addresses.items()]
+                first.membership.apply_list(entries, 2)
+                first.link.send("i2", msg)
+                await second.arrived.wait()
+                assert second.received == [msg]
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
 def test_fault_in_a_handler_keeps_the_stream(caplog):
     # Guards against one bad message that ends a stream or the process.
     async def main():
