--- a/src/magnoliaslip/lab/site.py
+++ b/src/magnoliaslip/lab/site.py
@@ -123,12 +123,12 @@
         platform = await self._start_platform()
         stand_ins = [await self._start_fabric(), *await self._start_backends()]
         stand_ins += await self._start_callers()
-        for instance in self.instances.values():
-            await instance.start()
         await platform.wait_ready()
         self.tables.instances = [proc.entry for proc in self.instances.values()]
         await self.publish()
         await self.publish_instances()
+        for instance in self.instances.values():
+            await instance.start()
         for child in stand_ins:
             await child.wait_ready()
         for instance in self.instances.values():
