Answer a joining member only once it is in the view

Cause: a peer that did not have the joining member in its view answered its question with nothing, as the last piece. Change: such a question is not answered, and questions are repeated every 0.3 s. The new test fails before and passes after.

--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -23,7 +23,7 @@
 from magnoliaslip.placement.state import PlacementState
 
 JOIN_SECONDS = 3.0
-ASK_SECONDS = 1.0
+ASK_SECONDS = 0.3  # a peer that does not have the asker in its view does not answer
 # A former holder keeps its copies while the new ones get theirs.
 DROP_SECONDS = 10.0
 LEAVING_RATE_FACTOR = 10
@@ -144,11 +144,17 @@
         self._leave_row = 0
 
     def answer(self, peer: str) -> None:
-        """Send a joining member the exceptions that it should hold."""
+        """Send a joining member the exceptions that it should hold.
+
+        A member outside the view gets no answer and asks again: without its zone
+        nobody can tell what it should hold.
+        """
         state = self._state
-        members = owning_members(state.view, state.snapshot.zones_out)
         joiner = state.view.members.get(peer)
-        if joiner is not None and joiner not in members:
+        if joiner is None:
+            return
+        members = owning_members(state.view, state.snapshot.zones_out)
+        if joiner not in members:
             members = sorted([*members, joiner], key=lambda member: member.id)
         ops: list[LogOp] = []
         holders: dict[tuple[int, int], Holders | None] = {}
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -1,8 +1,11 @@
 """Members that pause, return or differ: faults that random histories have shown."""
 
+from magnoliaslip.core.group import MemberState
 from magnoliaslip.core.links import Direction
 from magnoliaslip.packet.flow_key import SYN
 from magnoliaslip.packet.segment import Segment
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.hashing import flow_hash
 from tests.placement.fleet import Fleet, flow, make_pool
 
 
@@ -168,3 +171,20 @@
     for key in early:
         say_everywhere(fleet, key)
         assert len(set(fleet.answered_by(key))) == 1 and not fleet.was_reset(key)
+
+
+def test_joining_member_that_its_peers_do_not_know_yet_asks_again():
+    # Guards against a fresh owner without exceptions, because a peer that did not
+    # have it in its view answered as if it had nothing to send.
+    fleet = Fleet(3)
+    for number in range(1, 30):
+        fleet.open_exception(flow(number))
+        fleet.run(2.0)
+    node = fleet.add_node("i4", state=MemberState.JOINING)
+    fleet.set_view(at=["i4"])
+    fleet.deliver()
+    assert not node.router.exceptions_ready
+    fleet.set_view()
+    fleet.run(0.5)
+    assert node.router.exceptions_ready
+    assert node.router.exceptions_held
