Keep exceptions when a new owner starts its log again

A fresh member knows peers first by report, without incarnation, and starts its log again when it hears them. If it owned the slice by then, the former holders dropped all copies, although none had come through that log. Change: copies are dropped only if something of the log was applied before. The new test fails before and passes after.

--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -200,7 +200,8 @@
         if skip is not None:
             if entries.reset and skip == 0:
                 certificates.forget_dirty(sender, incarnation)
-                if former is not None:
+                if former:
+                    # Without anything applied before, no copy came from this log.
                     self._forget_exceptions(sender, now)
             changed = self._apply_buckets(sender, incarnation, entries, skip)
             rest = max(0, skip - len(entries.buckets))
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -188,3 +188,35 @@
     fleet.run(0.5)
     assert node.router.exceptions_ready
     assert node.router.exceptions_held
+
+
+def test_log_that_a_new_owner_starts_again_costs_no_copies():
+    # Guards against flows that break after a takeover. A fresh member knows its peers
+    # first by report, without incarnation, and starts its empty log again once it
+    # hears them; the former holders dropped what they were handing over to it.
+    fleet = Fleet(3, pool=make_pool(64))  # eight slices
+    keys = [flow(number) for number in range(1, 30)]
+    for key in keys:
+        fleet.open_exception(key)
+        fleet.run(2.0)
+    fleet.add_node("i4", state=MemberState.JOINING)
+    peers = [fleet.nodes[name] for name in ("i1", "i2", "i3")]
+    fleet.lose = lambda sender, to, item: isinstance(item, PeerMessage) and to == "i4"
+    for node in peers:
+        node.incarnation = 0
+    fleet.set_view(at=["i4"])
+    for node in peers:
+        node.incarnation = 1
+    fleet.set_view(at=["i1", "i2", "i3"])
+    fleet.run(3.2)
+    fleet.nodes["i4"].state = MemberState.SERVING
+    fleet.set_view(at=["i1", "i2", "i3"])
+    moved = [key for key in keys if fleet.owner(key) == "i4"]
+    fleet.lose = lambda sender, to, item: (
+        isinstance(item, PeerMessage) and to == "i4" and not item.HasField("heartbeat")
+    )
+    fleet.run(1.0)
+    assert moved
+    for key in moved:
+        held = [node.router._state.records.get(key, flow_hash(key)) for node in peers]
+        assert any(held)
