--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -11,7 +11,6 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.errors import PacketError
-from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.group import GroupView
 from magnoliaslip.core.links import Direction, PacketLink, PeerLink
 from magnoliaslip.core.recorder import Recorder
@@ -298,22 +297,6 @@
             self._handover.begin_leaving(now)
             state.epoch += 1
 
-    def note_uptime(self, service: str, server: str, seconds: float) -> None:
-        """Take over how long a backend server has run, as its health states.
-
-        Args:
-            service: Name of the service.
-            server: Name of the backend server.
-            seconds: Its uptime; below the ramp the server is in slow start.
-        """
-        state = self._state
-        known = state.services_by_name.get(service)
-        number = known.servers.find(server) if known else None
-        if known is None or number is None or seconds >= state.cfg.slow_start:
-            return
-        if known.load.start_cold(number, state.now() - seconds):
-            log_event(_logger, Event.SERVER_COLD, service=service, server=server)
-
     def explain(self, key: FlowKey) -> Explanation:
         """Tell which server a mid-flow packet or a new flow gets, and why."""
         return explain(self._state, self._keeper, key)
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -1,8 +1,11 @@
 """Members that pause, return or differ: faults that random histories have shown."""
 
+from magnoliaslip.core.group import MemberState
 from magnoliaslip.core.links import Direction
 from magnoliaslip.packet.flow_key import SYN
 from magnoliaslip.packet.segment import Segment
+from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
+from magnoliaslip.placement.hashing import flow_hash
 from tests.placement.fleet import Fleet, flow, make_pool
 
 
@@ -174,9 +177,9 @@
     # Guards against full load on a server that restarted between two opens.
     fleet = Fleet(1)
     router = fleet.nodes["i1"].router
-    router.note_uptime("rota", "s1", 1.0)
-    router.note_uptime("rota", "s2", 31.0)
-    router.note_uptime("rota", "unknown", 1.0)
+    router.health.note_uptime("rota", "s1", 1.0)
+    router.health.note_uptime("rota", "s2", 31.0)
+    router.health.note_uptime("rota", "unknown", 1.0)
     for number in range(40):
         fleet.syn(flow(number))
     assert len(fleet.servers["s1"].known) == 1
@@ -296,3 +299,52 @@
             fleet.say(key, via=late)
             assert not fleet.reset_after_open(key)
             assert len(set(fleet.answered_by(key))) == 1
+
+
+def test_joining_member_that_its_peers_do_not_know_yet_asks_again():
+    # Guards against a fresh owner without exceptions, because a peer that did not
+    # have it in its view answered as if it had nothing to send.
+    fleet = Fleet(3)
+    for number in range(1, 30):
+        fleet.open_exception(flow(number))
+        fleet.run(2.0)
+    node = fleet.add_node("i4", state=MemberState.JOINING)
+    fleet.set_view(at=["i4"])
+    fleet.deliver()
+    assert not node.router.exceptions_ready
+    fleet.set_view()
+    fleet.run(0.5)
+    assert node.router.exceptions_ready
+    assert node.router.exceptions_held
+
+
+def test_log_that_a_new_owner_starts_again_costs_no_copies():
+    # Guards against flows that break after a takeover. A fresh member knows its peers
+    # first by report, without incarnation, and starts its empty log again once it
+    # hears them; the former holders dropped what they were handing over to it.
+    fleet = Fleet(3, pool=make_pool(64))  # eight slices
+    keys = [flow(number) for number in range(1, 30)]
+    for key in keys:
+        fleet.open_exception(key)
+        fleet.run(2.0)
+    fleet.add_node("i4", state=MemberState.JOINING)
+    peers = [fleet.nodes[name] for name in ("i1", "i2", "i3")]
+    fleet.lose = lambda sender, to, item: isinstance(item, PeerMessage) and to == "i4"
+    for node in peers:
+        node.incarnation = 0
+    fleet.set_view(at=["i4"])
+    for node in peers:
+        node.incarnation = 1
+    fleet.set_view(at=["i1", "i2", "i3"])
+    fleet.run(3.2)
+    fleet.nodes["i4"].state = MemberState.SERVING
+    fleet.set_view(at=["i1", "i2", "i3"])
+    moved = [key for key in keys if fleet.owner(key) == "i4"]
+    fleet.lose = lambda sender, to, item: (
+        isinstance(item, PeerMessage) and to == "i4" and not item.HasField("heartbeat")
+    )
+    fleet.run(1.0)
+    assert moved
+    for key in moved:
+        held = [node.router._state.records.get(key, flow_hash(key)) for node in peers]
+        assert any(held)
