--- a/src/magnoliaslip/bench/tables.py
+++ b/src/magnoliaslip/bench/tables.py
@@ -7,7 +7,7 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.group import InstanceEntry
 
-# A line of a pool takes about 130 bytes; a value may have 1 MB.
+# Half of the 1 MB that a value may have, at about 90 bytes a line.
 SERVERS_PER_SHARD = 5_500
 SERVERS_PER_SERVICE = 110
 ROUTES_PER_SHARD = 5_500
