Forget a flow of which neither its server nor the owner knows an answer

Cause: during a cut both sides place the same open; the caller is established with one server, and the other owner passed on the reset of a server that never knew the flow. Change: a reset without ACK for a record that was never answered drops the record and the reset; the caller's next packet is decided anew. Ruled out: telling servers apart by the answer, which does not name its server.

--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -17,6 +17,9 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 
+# A flow with one of these flags was answered by its server, or is a guess.
+_SEEN = FlowFlag.ESTABLISHED | FlowFlag.ENDED | FlowFlag.GUESSED | FlowFlag.PAYLOAD
+
 _logger = getLogger(__name__)
 
 
@@ -179,6 +182,9 @@
             # A late refusal of an earlier SYN: only those have sequence number 0.
             self._forwarder.drop(packet, "stale_reset")
             return
+        if record is not None and not packet.flags & ACK and not record.flags & _SEEN:
+            self._disowned(packet, pending, record, now)
+            return
         certain = record is not None and not record.flags & FlowFlag.GUESSED
         if not certain and not self.opener.decider.settled(service, packet.bucket, now):
             self._forwarder.drop(packet, "uncertain_reset")
@@ -196,6 +202,28 @@
             self._ends.end(packet, now)
         self._forwarder.to_caller(packet)
 
+    def _disowned(
+        self,
+        packet: FlowPacket,
+        pending: PendingOpen | None,
+        record: FlowRecord,
+        now: float,
+    ) -> None:
+        """Forget a flow of which neither its server nor this owner knows an answer.
+
+        The caller sends mid-flow packets, so another server accepted the flow: during
+        a partition its SYN also reached an owner on the other side. The caller's next
+        packet is decided anew.
+        """
+        state = self._state
+        if pending is None or pending.barrier is not None:
+            state.opens.remove(packet.key)
+            service = state.services[record.service]
+            service.load.ended(record.server, packet.key)
+            self._ends.forget(packet.key, packet.hash, record, now)
+            state.epoch += 1
+        self._forwarder.drop(packet, "uncertain_reset")
+
     def _refused(
         self, packet: FlowPacket, pending: PendingOpen, record: FlowRecord, now: float
     ) -> None:
