--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -17,8 +17,8 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 
-# A flow with one of these flags was answered by its server, or is a guess.
-_SEEN = FlowFlag.ESTABLISHED | FlowFlag.ENDED | FlowFlag.GUESSED | FlowFlag.PAYLOAD
+# A record with one of these flags is no claim that its server has the flow.
+_DECIDED = FlowFlag.ENDED | FlowFlag.GUESSED
 
 _logger = getLogger(__name__)
 
@@ -182,7 +182,12 @@
             # A late refusal of an earlier SYN: only those have sequence number 0.
             self._forwarder.drop(packet, "stale_reset")
             return
-        if record is not None and not packet.flags & ACK and not record.flags & _SEEN:
+        if (
+            record is not None
+            and not packet.flags & ACK
+            and not record.isn
+            and not record.flags & _DECIDED
+        ):
             self._disowned(packet, pending, record, now)
             return
         certain = record is not None and not record.flags & FlowFlag.GUESSED
@@ -209,7 +214,7 @@
         record: FlowRecord,
         now: float,
     ) -> None:
-        """Forget a flow of which neither its server nor this owner knows an answer.
+        """Forget a flow whose SYN-ACK never passed here and that its server denies.
 
         The caller sends mid-flow packets, so another server accepted the flow: during
         a partition its SYN also reached an owner on the other side. The caller's next
