Abandon a held open when its caller sends mid-flow packets

Cause: an owner held a SYN for its barrier while another one, on the other side of a cut, got the flow accepted; it then sent the SYN to a second server. Change: a mid-flow packet that follows the held SYN takes the open back everywhere and is handled as one of an unknown flow.

--- a/src/magnoliaslip/placement/opens.py
+++ b/src/magnoliaslip/placement/opens.py
@@ -2,6 +2,7 @@
 
 from collections import OrderedDict
 
+from magnoliaslip.packet.segment import SEQUENCE_MODULUS
 from magnoliaslip.placement.flow_packet import FlowPacket
 from magnoliaslip.placement.replication import LogOp, PeerLog
 
@@ -10,6 +11,7 @@
 # Callers give up later, but the record alone is enough for what follows.
 KEEP_SECONDS = 10.0
 SILENT_AFTER_PACKETS = 3  # the first one and two retransmissions
+FIRST_WINDOW_BYTES = 1 << 20
 # An answer to an earlier copy of the opening packet may still be on its way.
 CROSSING_SECONDS = 0.25
 
@@ -111,6 +113,15 @@
         return self.refusals >= self.sent or now - self.last_sent > CROSSING_SECONDS
 
 
+    def is_followed_by(self, packet: FlowPacket) -> bool:
+        """Return whether a mid-flow packet belongs to the connection of this open.
+
+        Its sequence number is then the first one after the SYN, or a little higher.
+        """
+        distance = (packet.seq - self.packet.seq - 1) % SEQUENCE_MODULUS
+        return distance < FIRST_WINDOW_BYTES
+
+
 class OpenTable:
     """The pending opens of an owner, bounded in number."""
 
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -84,9 +84,15 @@
         state = self._state
         now = state.now()
         service = state.services[record.service]
-        if packet.key in state.opens.held:
-            # A late packet of an earlier connection with the same key.
-            self._forwarder.drop(packet, "open_held")
+        held = state.opens.held.get(packet.key)
+        if held is not None:
+            if not held.is_followed_by(packet):
+                # A late packet of an earlier connection with the same key.
+                self._forwarder.drop(packet, "open_held")
+                return
+            # The caller is established: another owner placed the open meanwhile.
+            self._abandon(packet, record, now)
+            self._unknown(packet, service)
             return
         if not self._forwarder.to_server(
             packet, service, record.server, record_reason(record)
@@ -220,15 +226,19 @@
         a partition its SYN also reached an owner on the other side. The caller's next
         packet is decided anew.
         """
-        state = self._state
         if pending is None or pending.barrier is not None:
-            state.opens.remove(packet.key)
-            service = state.services[record.service]
-            service.load.ended(record.server, packet.key)
-            self._ends.forget(packet.key, packet.hash, record, now)
-            state.epoch += 1
+            self._abandon(packet, record, now)
         self._forwarder.drop(packet, "uncertain_reset")
 
+    def _abandon(self, packet: FlowPacket, record: FlowRecord, now: float) -> None:
+        """Take back an open that no server got from here, copies included."""
+        state = self._state
+        state.opens.remove(packet.key)
+        service = state.services[record.service]
+        service.load.ended(record.server, packet.key)
+        self._ends.forget(packet.key, packet.hash, record, now)
+        state.epoch += 1
+
     def _refused(
         self, packet: FlowPacket, pending: PendingOpen, record: FlowRecord, now: float
     ) -> None:
