Keep flows through a cut: fresh views, unheard zones, one choice after the heal

A member noticed the cut up to 0.5 s before others; servers of an unheard zone still got opens; a held SYN was released after the other side had placed the flow; resets of misrouted packets passed as certain; copies of the losing side's choice stayed in use after the heal. Change: resets without ACK and refusals need every member heard within 1 s and a view that is complete for 3 s; opens avoid zones whose members are all unheard; unanswered opens there are forgotten; a late held SYN waits for the caller's next one; an owner takes back copies that contradict its firm record. Ruled out: the same freshness for held SYNs while the view is complete, which two tests of paused members refuse; the other side cannot own the slice before 2 s.

--- a/src/magnoliaslip/core/group.py
+++ b/src/magnoliaslip/core/group.py
@@ -50,11 +50,14 @@
         version: Number that rises whenever this instance's view changes.
         members: All live members in any state, this instance included, by id.
         unheard: Listed members that are not live and did not announce a stop.
+        unheard_zones: Availability zones whose listed members are all unheard; the
+            zone is probably cut off from here, its backend servers included.
     """
 
     version: int
     members: dict[str, Member] = field(default_factory=dict)
     unheard: frozenset[str] = frozenset()
+    unheard_zones: frozenset[str] = frozenset()
 
     @property
     def complete(self) -> bool:
--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -273,7 +273,11 @@
         if members != self._view.members or unheard != self._view.unheard:
             self._log_change(members)
             members = {peer: members[peer] for peer in sorted(members)}
-            self._view = GroupView(self._view.version + 1, members, frozenset(unheard))
+            zones = {self._listed[peer].zone for peer in unheard}
+            zones -= {member.zone for member in members.values()}
+            self._view = GroupView(
+                self._view.version + 1, members, frozenset(unheard), frozenset(zones)
+            )
         return self._view
 
     def _own_member(self) -> Member:
--- a/src/magnoliaslip/placement/decider.py
+++ b/src/magnoliaslip/placement/decider.py
@@ -55,11 +55,12 @@
         ignored = service.evidence.is_ignored(
             len(service.epochs.current.table.candidates), now
         )
+        avoid = service.avoid | self._state.view.unheard_zones
         default = service.epochs.default(bucket)
         if (
             default != NO_SERVER
             and default not in exclude
-            and service.servers[default].zone not in service.avoid
+            and service.servers[default].zone not in avoid
             and (ignored or not service.evidence.blocks(default, now))
             and self._default_admits(service, bucket, default, now)
         ):
@@ -68,21 +69,24 @@
         number = None
         if len(numbers) > FULL_SEARCH:
             sample = self._state.rng.sample(numbers, SAMPLE)
-            number = self._least_loaded(service, sample, now, ignored, exclude)
+            number = self._least_loaded(
+                service, sample, now, ignored, exclude, avoid=avoid
+            )
         if number is None:
-            number = self._least_loaded(service, numbers, now, ignored, exclude)
-        if number is None and service.avoid:
-            avoid: frozenset[str] = frozenset()
             number = self._least_loaded(
                 service, numbers, now, ignored, exclude, avoid=avoid
             )
+        if number is None and avoid:
+            number = self._least_loaded(
+                service, numbers, now, ignored, exclude, avoid=frozenset()
+            )
         if number is None:
             return None
         return Choice(number, "retry" if exclude else "overflow")
 
     def settled(self, service: Service, bucket: int, now: float) -> bool:
         """Return whether this owner may state that a flow was not run."""
-        return self._state.view.complete and service.settled(bucket, now)
+        return self._state.hears_all(now) and service.settled(bucket, now)
 
     def _least_loaded(
         self,
@@ -92,14 +96,12 @@
         ignored: bool,
         exclude: Collection[int],
         *,
-        avoid: frozenset[str] | None = None,
+        avoid: frozenset[str],
     ) -> int | None:
         """Return the least loaded server that admits a flow, else a warm one."""
         best, best_load = None, float("inf")
         full, full_load = None, float("inf")
         blocks = service.evidence.blocks
-        if avoid is None:
-            avoid = service.avoid
         for number in numbers:
             if number in exclude or (not ignored and blocks(number, now)):
                 continue
--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -269,6 +269,10 @@
         if self._unresolved.pop(key, None) is not None:
             self._unmark(service.code(bucket), now)
         if record is not None and owner and self._is_firm(key, record):
+            if other:
+                # Owners on two sides of a partition placed the flow; one of them
+                # decides now, and the copies of the other's choice must not be used.
+                self._take_back(service, key, server, now)
             return Applied.NOTHING
         plain = owner and not had and service.epochs.is_default(bucket, number)
         flags = FlowFlag.ESTABLISHED | (0 if plain else FlowFlag.EXCEPTION)
--- a/src/magnoliaslip/placement/opener.py
+++ b/src/magnoliaslip/placement/opener.py
@@ -1,5 +1,6 @@
 """Opens at the owner of their bucket, until a server accepts them."""
 
+from collections.abc import Collection
 from logging import getLogger
 
 from magnoliaslip.core.events import Event, log_event
@@ -8,7 +9,11 @@
 from magnoliaslip.placement.flow_ends import FlowEnds
 from magnoliaslip.placement.flow_packet import FlowPacket
 from magnoliaslip.placement.forwarder import Forwarder
-from magnoliaslip.placement.opens import SILENT_AFTER_PACKETS, PendingOpen
+from magnoliaslip.placement.opens import (
+    CROSSING_SECONDS,
+    SILENT_AFTER_PACKETS,
+    PendingOpen,
+)
 from magnoliaslip.placement.records import TICKS_PER_SECOND, FlowFlag, FlowRecord
 from magnoliaslip.placement.service import Service
 from magnoliaslip.placement.state import PlacementState
@@ -56,7 +61,7 @@
         now = state.now()
         pending = state.opens.get(packet.key)
         if pending is not None and pending.barrier is not None:
-            pending.packet = packet
+            pending.take_packet(packet, now)
             self._forwarder.drop(packet, "open_held")
             return
         if record is not None and not self._keeps_server(record, now):
@@ -77,7 +82,7 @@
             state.records.put(packet.key, packet.hash, record._replace(isn=0))
             pending = PendingOpen(packet, record.service, record.server, "record", now)
             state.opens.add(packet.key, pending)
-        pending.packet = packet
+        pending.take_packet(packet, now)
         if pending.refusals and pending.may_move(now):
             if not self.move(pending, state.services[record.service], now):
                 self._forwarder.drop(packet, "no_backend_server")
@@ -98,7 +103,10 @@
                 pending.barrier = None
                 service = state.services[pending.service]
                 if state.owns(service, pending.packet.bucket) or state.leaving:
-                    self._send_open(pending, now)
+                    if self._may_be_elsewhere(pending, now):
+                        self._forwarder.drop(pending.packet, "open_stale")
+                    else:
+                        self._send_open(pending, now)
                 else:
                     self._give_up_held(pending, service, now)
 
@@ -117,6 +125,21 @@
                 flags = record.flags | FlowFlag.GUESSED
                 state.records.put(key, key_hash, record._replace(flags=flags))
 
+    def forget_unreachable(self, zones: Collection[str], now: float) -> None:
+        """Forget unanswered opens on servers of zones that are no longer heard.
+
+        Their SYN is probably lost; the caller's next one is placed anew. The copies
+        of members in those zones stay: if the open did arrive, they serve its flow.
+        """
+        state = self._state
+        for pending in state.opens.pending():
+            service = state.services[pending.service]
+            if service.servers[pending.server].zone in zones:
+                packet = pending.packet
+                state.opens.remove(packet.key)
+                service.load.ended(pending.server, packet.key)
+                self._keeper.forget_copy(packet.key, packet.hash, service, now)
+
     def move(self, pending: PendingOpen, service: Service, now: float) -> bool:
         """Place a refused open on another server; returns whether there is one."""
         packet = pending.packet
@@ -177,6 +200,14 @@
                 retry_in=f"{delay:.1f}",
             )
 
+    def _may_be_elsewhere(self, pending: PendingOpen, now: float) -> bool:
+        """Return whether the other side of a partition may have placed a held open.
+
+        The caller sends the SYN again soon if it still waits for an answer.
+        """
+        late = now - pending.received > CROSSING_SECONDS
+        return late and not self._state.view.complete
+
     def _keeps_server(self, record: FlowRecord, now: float) -> bool:
         if record.flags & FlowFlag.ENDED:
             return False
--- a/src/magnoliaslip/placement/opens.py
+++ b/src/magnoliaslip/placement/opens.py
@@ -60,6 +60,7 @@
 
     Attributes:
         packet: The latest opening packet.
+        received: Monotonic time at which it arrived.
         service: Index of the service.
         server: Number of the server that it was placed on.
         tried: Numbers of all servers that it was placed on.
@@ -76,6 +77,7 @@
         "last_sent",
         "packet",
         "reason",
+        "received",
         "refusals",
         "sent",
         "server",
@@ -87,13 +89,18 @@
     def __init__(
         self, packet: FlowPacket, service: int, server: int, reason: str, now: float
     ) -> None:
-        self.packet = packet
+        self.take_packet(packet, now)
         self.service = service
         self.tried: set[int] = set()
         self.since = now
         self.barrier: Barrier | None = None
         self.place(server, reason)
 
+    def take_packet(self, packet: FlowPacket, now: float) -> None:
+        """Keep the latest opening packet of the caller."""
+        self.packet = packet
+        self.received = now
+
     def place(self, server: int, reason: str) -> None:
         """Start over with a server."""
         self.server = server
@@ -112,7 +119,6 @@
         """Return whether no other answer of the refusing server can be under way."""
         return self.refusals >= self.sent or now - self.last_sent > CROSSING_SECONDS
 
-
     def is_followed_by(self, packet: FlowPacket) -> bool:
         """Return whether a mid-flow packet belongs to the connection of this open.
 
@@ -146,6 +152,10 @@
             self.held.pop(self._opens.popitem(last=False)[0], None)
         self._opens[key] = pending
 
+    def pending(self) -> list[PendingOpen]:
+        """Return all pending opens, the oldest first."""
+        return list(self._opens.values())
+
     def remove(self, key: bytes) -> None:
         """Drop an open that was answered or ended."""
         self._opens.pop(key, None)
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -84,9 +84,9 @@
         state = self._state
         now = state.now()
         service = state.services[record.service]
-        held = state.opens.held.get(packet.key)
-        if held is not None:
-            if not held.is_followed_by(packet):
+        pending = state.opens.get(packet.key)
+        if pending is not None and not pending.sent:
+            if not pending.is_followed_by(packet):
                 # A late packet of an earlier connection with the same key.
                 self._forwarder.drop(packet, "open_held")
                 return
@@ -196,7 +196,13 @@
         ):
             self._disowned(packet, pending, record, now)
             return
-        certain = record is not None and not record.flags & FlowFlag.GUESSED
+        # During a partition and just after it, the reset may come from a server that
+        # got the packet from the other side.
+        certain = (
+            record is not None
+            and not record.flags & FlowFlag.GUESSED
+            and (packet.flags & ACK or state.hears_all(now))
+        )
         if not certain and not self.opener.decider.settled(service, packet.bucket, now):
             self._forwarder.drop(packet, "uncertain_reset")
             return
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -213,7 +213,10 @@
         """Put a group view in force; this instance is one of its members."""
         state = self._state
         now = state.now()
-        state.view = view
+        cut_off = view.unheard_zones - state.view.unheard_zones
+        state.take_view(view)
+        if cut_off:
+            self._owner.opener.forget_unreachable(cut_off, now)
         self._update_slices(now)
         self._exchange.view_changed(now)
         self._handover.view_changed(view, now)
@@ -264,6 +267,7 @@
         if incarnation is None:
             member = state.view.members.get(peer)
             incarnation = member.incarnation if member else 0
+        state.heard_at[peer] = now
         former = self._exchange.reported.get(peer)
         self._exchange.on_heartbeat(peer, heartbeat, incarnation, now)
         if self._exchange.reported.get(peer) != former:
--- a/src/magnoliaslip/placement/state.py
+++ b/src/magnoliaslip/placement/state.py
@@ -1,6 +1,7 @@
 """What the parts of the router share."""
 
 from collections import Counter
+from math import inf
 from random import Random
 
 from magnoliaslip.config.snapshot import Snapshot
@@ -16,6 +17,9 @@
 from magnoliaslip.placement.service import Service
 from magnoliaslip.placement.settings import PlacementConfig
 
+# Views, announcements and handed-over exceptions agree again within this time.
+HEALED_SECONDS = 3.0
+FRESH_SECONDS = 1.0
 POLICIES = ("exceptions", "owner", "replicated", "stateless")
 
 
@@ -37,8 +41,10 @@
         "certificates",
         "cfg",
         "clock",
+        "complete_since",
         "counters",
         "epoch",
+        "heard_at",
         "instance_id",
         "leaving",
         "logs",
@@ -87,6 +93,8 @@
         self.epoch = 0
         self.snapshot = Snapshot(version=0)
         self.view = GroupView(version=0)
+        self.complete_since = -inf
+        self.heard_at: dict[str, float] = {}
         self.services: list[Service] = []
         self.services_by_name: dict[str, Service] = {}
         self.routes: dict[bytes, Service] = {}
@@ -126,6 +134,31 @@
             self.services_by_name[name] = service
         return service
 
+    def take_view(self, view: GroupView) -> None:
+        """Put a group view in force."""
+        if view.complete and not self.view.complete:
+            self.complete_since = self.now()
+        self.view = view
+        self.heard_at = {
+            peer: moment
+            for peer, moment in self.heard_at.items()
+            if peer in view.members
+        }
+
+    def hears_all(self, now: float) -> bool:
+        """Return whether no listed member may be on the other side of a partition.
+
+        A cut shows in the view after 2 s, and on its other side perhaps earlier, so
+        every member must have been heard within 1 s. Just after a partition, members
+        still send packets of the same flow to different servers.
+        """
+        if not self.view.complete or now - self.complete_since < HEALED_SECONDS:
+            return False
+        return all(
+            now - self.heard_at.get(peer, -inf) < FRESH_SECONDS
+            for peer in self.peers_in_view()
+        )
+
     def peers_in_view(self) -> list[str]:
         """Return the other members of the view."""
         return [name for name in self.view.members if name != self.instance_id]
