Do not relay opening packets that waited through a pause

Change: opening packets held while the view was suspect are dropped instead of relayed, as they already were instead of placed; callers send them again. The new test fails before and passes after.

--- a/src/magnoliaslip/placement/dispatcher.py
+++ b/src/magnoliaslip/placement/dispatcher.py
@@ -120,7 +120,10 @@
 
     def _to_owner(self, packet: FlowPacket, service: Service) -> None:
         owner = service.slices.owner(packet.bucket)
-        if owner is None:
+        if packet.is_open and self._state.stale_opens:
+            # To the owner it would look like a new open of a flow that has ended.
+            self._forwarder.drop(packet, "stale_open")
+        elif owner is None:
             self._forwarder.drop(packet, "not_a_member")
         else:
             self._forwarder.relay(packet, owner)
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -55,6 +55,22 @@
         assert len(set(fleet.answered_by(key))) == 1
 
 
+def test_woken_member_passes_no_old_open_on():
+    # Guards against a false refusal: the owner had forgotten the flow, which had run
+    # and ended while the SYN waited in the socket of a paused member.
+    fleet = Fleet(5)
+    key = flow(1)
+    sleeper = next(name for name in fleet.nodes if name != fleet.owner(key))
+    pause(fleet, sleeper)
+    fleet.syn(key, via=sleeper)
+    fleet.publish(make_pool(7, version=2, drain=[f"s{n}" for n in range(1, 8)]))
+    fleet.run(4.0)
+    wake(fleet, sleeper)
+    fleet.run(1.0)
+    assert not fleet.was_reset(key)
+    assert not fleet.servers_of(key)
+
+
 def test_returned_member_learns_the_dirty_buckets_again():
     # Guards against a member that was out of the view and trusts certificates for
     # a log that its peers have started anew.
