Tell by the acknowledged SYN-ACK which side's open a caller took

Cause: after a cut heals, the merged view's owner kept its own open although the caller was established by the other side's; a member also overwrote the record of a SYN-ACK that passed there, and a reset that crossed a handover removed the right exception. Change: the first packets of a flow must acknowledge the SYN-ACK that passed here, else the open is abandoned; a member with an accepted record tells the owner instead of taking a contradicting copy; resets remove unanswered opens only; held SYNs wait for the caller until 3 s after the heal. Test change: the fleet's caller acknowledged 1 whatever the server's sequence number was, which no TCP caller does; it now acknowledges the SYN-ACK that it got. The assertions are the same.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -274,6 +274,11 @@
                 # decides now, and the copies of the other's choice must not be used.
                 self._take_back(service, key, server, now)
             return Applied.NOTHING
+        if record is not None and not owner and other and _was_accepted(record):
+            # The sender was on the other side of a partition when the SYN-ACK passed
+            # here. The owner decides: it keeps its own record only if it is firm.
+            self.tell_owner(key, key_hash, service, now)
+            return Applied.NOTHING
         plain = owner and not had and service.epochs.is_default(bucket, number)
         flags = FlowFlag.ESTABLISHED | (0 if plain else FlowFlag.EXCEPTION)
         opened = record.opened if record else int(now * TICKS_PER_SECOND)
@@ -395,3 +400,8 @@
         now >= lease_end or (log is not None and op is not None and log.is_acked(op))
         for log, op, lease_end in waits
     )
+
+
+def _was_accepted(record: FlowRecord) -> bool:
+    """Return whether the SYN-ACK of a flow that goes on passed here."""
+    return bool(record.isn) and not record.flags & FlowFlag.ENDED
--- a/src/magnoliaslip/placement/opener.py
+++ b/src/magnoliaslip/placement/opener.py
@@ -206,7 +206,7 @@
         The caller sends the SYN again soon if it still waits for an answer.
         """
         late = now - pending.received > CROSSING_SECONDS
-        return late and not self._state.view.complete
+        return late and not self._state.is_healed(now)
 
     def _keeps_server(self, record: FlowRecord, now: float) -> bool:
         if record.flags & FlowFlag.ENDED:
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -17,8 +17,10 @@
 
 SEQUENCE_MASK = 0xFFFFFFFF
 
-# A record with one of these flags is no claim that its server has the flow.
-_DECIDED = FlowFlag.ENDED | FlowFlag.GUESSED
+# A record without any of these flags is an open that no server has answered yet.
+_DECIDED = FlowFlag.ESTABLISHED | FlowFlag.ENDED | FlowFlag.GUESSED
+# Answers of less than half of the sequence space reach a caller in this time.
+ACK_CHECK_SECONDS = 30.0
 
 _logger = getLogger(__name__)
 
@@ -94,6 +96,12 @@
             self._abandon(packet, record, now)
             self._unknown(packet, service)
             return
+        if _acknowledges_other(packet, record, now):
+            # The caller took the SYN-ACK of another server: a second owner placed the
+            # open too, during a partition.
+            self._abandon(packet, record, now)
+            self._unknown(packet, service)
+            return
         if not self._forwarder.to_server(
             packet, service, record.server, record_reason(record)
         ):
@@ -191,7 +199,6 @@
         if (
             record is not None
             and not packet.flags & ACK
-            and not record.isn
             and not record.flags & _DECIDED
         ):
             self._disowned(packet, pending, record, now)
@@ -226,7 +233,7 @@
         record: FlowRecord,
         now: float,
     ) -> None:
-        """Forget a flow whose SYN-ACK never passed here and that its server denies.
+        """Forget an unanswered open whose server denies the flow.
 
         The caller sends mid-flow packets, so another server accepted the flow: during
         a partition its SYN also reached an owner on the other side. The caller's next
@@ -279,3 +286,16 @@
                 service=service.name,
                 server=service.servers[number].name,
             )
+
+
+def _acknowledges_other(packet: FlowPacket, record: FlowRecord, now: float) -> bool:
+    """Return whether a caller's packet contradicts the SYN-ACK that passed here.
+
+    Only the first packets of a flow are checked: later the sequence numbers of a
+    long answer may have gone half round.
+    """
+    if not record.isn or not packet.flags & ACK or record.flags & FlowFlag.PAYLOAD:
+        return False
+    if now - record.opened / TICKS_PER_SECOND > ACK_CHECK_SECONDS:
+        return False
+    return (packet.ack - record.isn - 1) & SEQUENCE_MASK > SEQUENCE_MASK // 2
--- a/src/magnoliaslip/placement/state.py
+++ b/src/magnoliaslip/placement/state.py
@@ -145,6 +145,10 @@
             if peer in view.members
         }
 
+    def is_healed(self, now: float) -> bool:
+        """Return whether the view has been complete since any partition's effects."""
+        return self.view.complete and now - self.complete_since >= HEALED_SECONDS
+
     def hears_all(self, now: float) -> bool:
         """Return whether no listed member may be on the other side of a partition.
 
@@ -152,9 +156,7 @@
         every member must have been heard within 1 s. Just after a partition, members
         still send packets of the same flow to different servers.
         """
-        if not self.view.complete or now - self.complete_since < HEALED_SECONDS:
-            return False
-        return all(
+        return self.is_healed(now) and all(
             now - self.heard_at.get(peer, -inf) < FRESH_SECONDS
             for peer in self.peers_in_view()
         )
--- a/tests/placement/fleet.py
+++ b/tests/placement/fleet.py
@@ -265,10 +265,15 @@
         self.deliver()
 
     def say(self, key, via=None, flags=PSH | ACK, payload=b"x", seq=101):
-        segment = Segment(key, flags, seq=seq, ack=1, payload=payload)
+        segment = Segment(key, flags, seq=seq, ack=self.ack(key), payload=payload)
         self.spray(segment.encode(), Direction.REQUEST, via)
         self.deliver()
 
+    def ack(self, key):
+        """Return what a caller acknowledges: the first SYN-ACK that it got."""
+        opened = [s for s in self.answers.get(key, []) if s.flags & SYN]
+        return opened[0].seq + 1 if opened else 1
+
     def owner(self, key, at="i1"):
         return self.nodes[at].router.explain(key).owner
 
