Avoid unheard zones only at settled owners; keep unanswered opens

Cause: a test with kills and loss found a SYN on two servers: the new owner forgot or avoided the server of a flow that the killed owner had opened, because the member was the only one of its zone.

--- a/src/magnoliaslip/placement/decider.py
+++ b/src/magnoliaslip/placement/decider.py
@@ -55,7 +55,11 @@
         ignored = service.evidence.is_ignored(
             len(service.epochs.current.table.candidates), now
         )
-        avoid = service.avoid | self._state.view.unheard_zones
+        avoid = service.avoid
+        if service.settled(bucket, now):
+            # Just after a takeover the SYN may be a retransmission that the former
+            # owner placed on its default, which must stay the same then.
+            avoid |= self._state.view.unheard_zones
         default = service.epochs.default(bucket)
         if (
             default != NO_SERVER
--- a/src/magnoliaslip/placement/opener.py
+++ b/src/magnoliaslip/placement/opener.py
@@ -1,6 +1,5 @@
 """Opens at the owner of their bucket, until a server accepts them."""
 
-from collections.abc import Collection
 from logging import getLogger
 
 from magnoliaslip.core.events import Event, log_event
@@ -125,21 +124,6 @@
                 flags = record.flags | FlowFlag.GUESSED
                 state.records.put(key, key_hash, record._replace(flags=flags))
 
-    def forget_unreachable(self, zones: Collection[str], now: float) -> None:
-        """Forget unanswered opens on servers of zones that are no longer heard.
-
-        Their SYN is probably lost; the caller's next one is placed anew. The copies
-        of members in those zones stay: if the open did arrive, they serve its flow.
-        """
-        state = self._state
-        for pending in state.opens.pending():
-            service = state.services[pending.service]
-            if service.servers[pending.server].zone in zones:
-                packet = pending.packet
-                state.opens.remove(packet.key)
-                service.load.ended(pending.server, packet.key)
-                self._keeper.forget_copy(packet.key, packet.hash, service, now)
-
     def move(self, pending: PendingOpen, service: Service, now: float) -> bool:
         """Place a refused open on another server; returns whether there is one."""
         packet = pending.packet
--- a/src/magnoliaslip/placement/opens.py
+++ b/src/magnoliaslip/placement/opens.py
@@ -152,10 +152,6 @@
             self.held.pop(self._opens.popitem(last=False)[0], None)
         self._opens[key] = pending
 
-    def pending(self) -> list[PendingOpen]:
-        """Return all pending opens, the oldest first."""
-        return list(self._opens.values())
-
     def remove(self, key: bytes) -> None:
         """Drop an open that was answered or ended."""
         self._opens.pop(key, None)
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -213,10 +213,7 @@
         """Put a group view in force; this instance is one of its members."""
         state = self._state
         now = state.now()
-        cut_off = view.unheard_zones - state.view.unheard_zones
         state.take_view(view)
-        if cut_off:
-            self._owner.opener.forget_unreachable(cut_off, now)
         self._update_slices(now)
         self._exchange.view_changed(now)
         self._handover.view_changed(view, now)
--- a/tests/placement/fleet.py
+++ b/tests/placement/fleet.py
@@ -182,7 +182,11 @@
             )
             for name in names
         }
-        return GroupView(self.view_version, members, frozenset(unheard))
+        zones = {self.zone(name) for name in unheard}
+        zones -= {member.zone for member in members.values()}
+        return GroupView(
+            self.view_version, members, frozenset(unheard), frozenset(zones)
+        )
 
     def set_view(self, *, at=None, unheard=()):
         alive = [name for name, node in self.nodes.items() if node.alive]
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -2,7 +2,7 @@
 
 from magnoliaslip.core.group import MemberState
 from magnoliaslip.core.links import Direction
-from magnoliaslip.packet.flow_key import SYN
+from magnoliaslip.packet.flow_key import ACK, SYN
 from magnoliaslip.packet.segment import Segment
 from magnoliaslip.peering.proto.peer_pb2 import PeerMessage
 from magnoliaslip.placement.hashing import flow_hash
@@ -364,3 +364,68 @@
             fleet.say(key, via=late)
             assert not fleet.reset_after_open(key)
             assert len(set(fleet.answered_by(key))) == 1
+
+
+def opens_of(fleet, key):
+    return [name for name, segment in fleet.handed[key] if segment.is_open]
+
+
+def test_held_open_is_abandoned_when_its_caller_is_established_elsewhere():
+    # Guards against a SYN that reaches a second server, because its owner held it
+    # while an owner on the other side of a cut got the flow accepted.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    fleet.cut |= {(owner, name) for name in fleet.nodes if name != owner}
+    fleet.open_exception(key, via=owner)
+    assert opens_of(fleet, key) == [fleet.default(key)]
+    fleet.say(key, via=owner)
+    fleet.run(2.0)
+    assert opens_of(fleet, key) == [fleet.default(key)]
+
+
+def test_reset_of_an_unanswered_open_does_not_reach_the_caller():
+    # Guards against the reset of a server whose SYN was lost, for a flow that the
+    # other side of a cut has placed.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    server = fleet.servers[fleet.default(key)]
+    server.mode = "silent"
+    fleet.syn(key, via=owner)
+    server.mode = "accept"
+    fleet.say(key, via=owner)
+    assert server.name in fleet.servers_of(key)
+    assert not fleet.was_reset(key)
+
+
+def test_open_is_abandoned_when_the_caller_took_another_syn_ack():
+    # Guards against a flow that breaks after a cut heals, because the owner keeps its
+    # own open although the caller is established by that of the other side.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    fleet.syn(key, via=owner)
+    records = fleet.nodes[owner].router._state.records
+    isn = records.get(key, flow_hash(key)).isn
+    assert isn
+    other = Segment(key, ACK, seq=101, ack=(isn + (1 << 31) + 7) % (1 << 32))
+    fleet.spray(other.encode(), Direction.REQUEST, owner)
+    fleet.deliver()
+    assert not records.get(key, flow_hash(key)).isn
+    assert not fleet.was_reset(key)
+
+
+def test_opens_avoid_servers_of_a_zone_that_is_not_heard():
+    # Guards against opens that are lost in a zone that is cut off from here.
+    fleet = Fleet(7)
+    lost = [name for name in fleet.nodes if fleet.zone(name) == fleet.zone("i1")]
+    here = [name for name in fleet.nodes if name not in lost]
+    fleet.set_view(at=here, unheard=lost)
+    fleet.run(3.5)
+    for number in range(40):
+        fleet.syn(flow(number), via=here[number % len(here)])
+    servers = fleet.history[-1].snapshot.pools["rota"].servers
+    beyond = {each.name for each in servers if each.zone == fleet.zone("i1")}
+    used = set().union(*(fleet.servers_of(flow(number)) for number in range(40)))
+    assert beyond and used and not used & beyond
