Let replicas stand in for a former owner that died during a handover

Change: members with copies watch a former owner for 4 s and send its exceptions to the new owner when it leaves the view.

--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -23,6 +23,8 @@
 from magnoliaslip.placement.state import PlacementState
 
 JOIN_SECONDS = 3.0
+# A former owner that died while it handed its slice over is out of the view by then.
+WATCH_SECONDS = 4.0
 ASK_SECONDS = 0.3  # a peer that does not have the asker in its view does not answer
 # A former holder keeps its copies while the new ones get theirs.
 DROP_SECONDS = 10.0
@@ -51,12 +53,14 @@
         "_queue",
         "_replied",
         "_state",
+        "_watched",
         "last_packet",
     )
 
     def __init__(self, state: PlacementState, keeper: ExceptionKeeper) -> None:
         self._state = state
         self._keeper = keeper
+        self._watched: dict[int, tuple[str, float]] = {}
         self._queue: dict[int, set[str]] = {}
         self._drop_at: dict[int, float] = {}
         self._asked: dict[str, float] = {}
@@ -108,6 +112,8 @@
             new = service.slices.holders(bucket)
             if new is None or new == old:
                 continue
+            if old is not None and new.owner != old.owner:
+                self._watched[code] = old.owner, now + WATCH_SECONDS
             targets = self._targets(old, new)
             if targets:
                 self._queue.setdefault(code, set()).update(targets)
@@ -216,10 +222,24 @@
                     if log is not None:
                         log.add_exception(op.service, op.key, op.server)
                         budget -= 1
+        self._stand_in(now)
         for code in [c for c, moment in self._drop_at.items() if now >= moment]:
             del self._drop_at[code]
             self._keeper.drop_bucket(code, now)
 
+    def _stand_in(self, now: float) -> None:
+        """Send what a former owner may not have handed over before it died."""
+        members = self._state.view.members
+        for code, (former, deadline) in list(self._watched.items()):
+            if former not in members:
+                service = self._state.services[code >> CODE_SHIFT]
+                holders = service.slices.holders(code_bucket(code))
+                if holders is not None and self._keeper.holds(code):
+                    self._queue.setdefault(code, set()).add(holders.owner)
+            elif now < deadline:
+                continue
+            del self._watched[code]
+
     def _targets(self, old: Holders | None, new: Holders) -> set[str]:
         me = self._state.instance_id
         former = {old.owner, *old.replicas} if old else set()
--- a/tests/placement/test_recovery.py
+++ b/tests/placement/test_recovery.py
@@ -429,3 +429,27 @@
     beyond = {each.name for each in servers if each.zone == fleet.zone("i1")}
     used = set().union(*(fleet.servers_of(flow(number)) for number in range(40)))
     assert beyond and used and not used & beyond
+
+
+def test_replicas_stand_in_for_an_owner_that_dies_before_it_hands_over():
+    # Guards against a lost exception when ownership moves, as a zone returns, and the
+    # former owner dies before the others know.
+    fleet = Fleet(7)
+    key = flow(1)
+    returned = fleet.owner(key)
+    fleet.publish(zones_out=[fleet.zone(returned)])
+    fleet.run(3.5)
+    former = fleet.owner(key)
+    assert former != returned
+    fleet.open_exception(key, via=former)
+    fleet.run(1.0)
+    assert fleet.established(key)
+    fleet.kill(former)
+    fleet.publish(to=[name for name in fleet.nodes if name != former])
+    fleet.run(2.0)
+    fleet.set_view(unheard=[former])
+    fleet.run(5.0)
+    say_everywhere(fleet, key)
+    assert fleet.owner(key, at=returned) == returned
+    answers = fleet.answered_by(key)
+    assert answers == answers[:1] * 6 and not fleet.was_reset(key)
