--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -196,12 +196,7 @@
         log = self._state.logs.get(owner) if owner else None
         record = self._state.records.get(key, key_hash)
         if log is not None and record is not None:
-            log.add_exception(
-                service.name,
-                key,
-                service.servers[record.server].name,
-                accepted=bool(record.isn),
-            )
+            log.add_exception(service.name, key, service.servers[record.server].name)
             log.flush(now, urgent=True)
 
     def replicas(self, service: Service, bucket: int) -> Iterable[str]:
@@ -226,7 +221,6 @@
         now: float,
         *,
         removed: bool = False,
-        accepted: bool = False,
     ) -> Applied:
         """Apply an exception that another instance sent.
 
@@ -236,8 +230,6 @@
             server: Name of the server; empty to remove the exception.
             now: Monotonic time in seconds.
             removed: Remove the exception if it names this server.
-            accepted: The SYN-ACK of the flow passed the sender, so it outweighs an
-                open here that is not answered.
         """
         state = self._state
         service = state.service(service_name)
@@ -276,15 +268,12 @@
             return Applied.NOTHING
         if self._unresolved.pop(key, None) is not None:
             self._unmark(service.code(bucket), now)
-        if record is not None and owner and self._is_firm(key, record, accepted):
+        if record is not None and owner and self._is_firm(key, record):
             if other:
                 # Owners on two sides of a partition placed the flow; one of them
                 # decides now, and the copies of the other's choice must not be used.
                 self._take_back(service, key, server, now)
             return Applied.NOTHING
-        if owner and other and accepted:
-            # The open that is not answered here lost to that of the sender.
-            state.opens.remove(key)
         if record is not None and not owner and other and _was_accepted(record):
             # The sender was on the other side of a partition when the SYN-ACK passed
             # here. The owner decides: it keeps its own record only if it is firm.
@@ -348,15 +337,13 @@
         for log in self._state.logs.values():
             log.add_exception(service.name, key, server, removed=True)
 
-    def _is_firm(self, key: bytes, record: FlowRecord, accepted: bool) -> bool:
+    def _is_firm(self, key: bytes, record: FlowRecord) -> bool:
         """Return whether an owner's own record outweighs one that it is sent.
 
         True for a flow whose SYN or SYN-ACK passed here. Other records came from
         members that may change them, also while views or zones differ.
         """
-        if record.isn:
-            return True
-        return not accepted and self._state.opens.get(key) is not None
+        return bool(record.isn) or self._state.opens.get(key) is not None
 
     def _mark(self, code: int, now: float) -> None:
         self._counts[code] = self._counts.get(code, 0) + 1
--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -197,12 +197,7 @@
                 continue
             name = entries.services[op.service_index]
             applied = self._keeper.apply(
-                name,
-                op.key,
-                op.server,
-                now,
-                removed=op.removed,
-                accepted=op.accepted,
+                name, op.key, op.server, now, removed=op.removed
             )
             if applied is not Applied.NOTHING:
                 self._pass_on(name, op.key)
@@ -225,9 +220,7 @@
                 for peer in sorted(targets):
                     log = state.logs.get(peer)
                     if log is not None:
-                        log.add_exception(
-                            op.service, op.key, op.server, accepted=op.accepted
-                        )
+                        log.add_exception(op.service, op.key, op.server)
                         budget -= 1
         self._stand_in(now)
         for code in [c for c, moment in self._drop_at.items() if now >= moment]:
@@ -278,12 +271,7 @@
 
     def _ops(self, service: Service, code: int) -> list[LogOp]:
         return [
-            LogOp(
-                service.name,
-                key=key,
-                server=service.servers[record.server].name,
-                accepted=bool(record.isn),
-            )
+            LogOp(service.name, key=key, server=service.servers[record.server].name)
             for key, _, record in self._keeper.in_bucket(code)
         ]
 
--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -34,12 +34,10 @@
         key: Flow key of an exception operation.
         server: Server of the exception; empty when it is removed.
         removed: Whether it is removed if it names this server.
-        accepted: Whether the SYN-ACK of the flow passed here.
         sequence: Number in the log; 0 until it is sent.
     """
 
     __slots__ = (
-        "accepted",
         "bucket",
         "dirty",
         "key",
@@ -58,7 +56,6 @@
         key: bytes = b"",
         server: str = "",
         removed: bool = False,
-        accepted: bool = False,
     ) -> None:
         self.service = service
         self.bucket = bucket
@@ -66,7 +63,6 @@
         self.key = key
         self.server = server
         self.removed = removed
-        self.accepted = accepted
         self.sequence = 0
 
 
@@ -89,7 +85,6 @@
                     key=op.key,
                     server=op.server,
                     removed=op.removed,
-                    accepted=op.accepted,
                 )
             )
     entries.services.extend(indexes)
@@ -167,13 +162,7 @@
         return op
 
     def add_exception(
-        self,
-        service: str,
-        key: bytes,
-        server: str,
-        *,
-        removed: bool = False,
-        accepted: bool = False,
+        self, service: str, key: bytes, server: str, *, removed: bool = False
     ) -> LogOp:
         """Append an exception; an empty server removes it.
 
@@ -182,9 +171,8 @@
             key: Flow key.
             server: Name of the server.
             removed: Remove the exception if it names this server.
-            accepted: The SYN-ACK of the flow passed here.
         """
-        op = LogOp(service, key=key, server=server, removed=removed, accepted=accepted)
+        op = LogOp(service, key=key, server=server, removed=removed)
         self._append(self._exceptions, op)
         return op
 
