--- a/tests/proof/test_matrix.py
+++ b/tests/proof/test_matrix.py
@@ -17,9 +17,31 @@
 from magnoliaslip.proof.steps import STEPS
 
 SEED = 1
+# Cells of the complete matrix that broke flows once, and those that still do; the
+# latter stand in KNOWN-RED.txt.
+FOUND = (
+    "sicily/zone-back/kill",
+    "sicily/zone-back/kill+uneven-order",
+    "sicily/instance-join/pause",
+    "sicily/instance-start/cut-zone",
+    "karaganda/instance-join/cut-zone",
+    "karaganda/instance-stop/cut-zone",
+    "sicily/steady/cut-zone",
+    "karaganda/pool-change/cut-zone",
+    "karaganda/server-removal/cut-zone",
+    "sicily/instance-join/cut-peers+cut-zone",
+    "sicily/server-drain/cut-zone",
+    "sicily/zone-back/cut-zone",
+)
+
+
+def matrix_cells():
+    cells = {cell.name: cell for cell in (*single_cells(), *pair_cells(SEED))}
+    tested = {cell.name: cell for cell in subset_cells()}
+    return list((tested | {name: cells[name] for name in FOUND}).values())
 
 
-@pytest.mark.parametrize("cell", subset_cells(), ids=lambda cell: cell.name)
+@pytest.mark.parametrize("cell", matrix_cells(), ids=lambda cell: cell.name)
 def test_cell_keeps_every_rule(cell):
     result = run_cell(cell, SEED)
     assert result.error == ""
