Wait 2 s instead of 0.5 s for a confirmed view after a pause

Change: after a pause packets are held for up to 2 s, after silence for 500 ms as before; others serve the callers meanwhile. Ruled out: dropping what arrived during the pause; what arrives after it is as bad.

--- a/src/magnoliaslip/dataplane/path.py
+++ b/src/magnoliaslip/dataplane/path.py
@@ -102,7 +102,7 @@
         if now - self._tick_at > PAUSE_S:
             # Runs before the timers of a process that was just continued: what
             # waits in the sockets must not be decided on an old view.
-            self._router.mark_view_suspect()
+            self._router.mark_view_suspect(paused=True)
             self._tick_at = now
             log_event(logger, Event.CLOCK_JUMPED)
         self._refresh_cache()
--- a/src/magnoliaslip/peering/view_confirmation.py
+++ b/src/magnoliaslip/peering/view_confirmation.py
@@ -17,6 +17,7 @@
 PAUSE_S = 1.0  # ticks are 0.1 s apart; a longer gap means that the process stood still
 SILENCE_S = 3.0
 CONFIRM_S = 0.5  # packets are held no longer than this
+PAUSED_CONFIRM_S = 2.0  # after a pause, see `suspect_queue`
 # A peer's answer is preferred to the platform's, which may be stale.
 PEER_LEAD_S = 0.1
 
@@ -28,8 +29,8 @@
 
     After a pause, or when neither peers nor the platform were heard for 3 s, all
     peers and the platform are asked. The first full answer confirms the view; after
-    500 ms the instance serves on with what it has. Peers answer by a number of the
-    request, so that an answer from before the pause confirms nothing.
+    500 ms, or 2 s after a pause, the instance serves on with what it has. Peers answer
+    by a number of the request, so that an answer from before the pause confirms nothing.
 
     Args:
         membership: Tells the peers and when they were heard.
@@ -42,6 +43,7 @@
     __slots__ = (
         "_asked",
         "_clock",
+        "_confirm_until",
         "_dissemination",
         "_last_tick",
         "_membership",
@@ -69,6 +71,7 @@
         self._asked = anyio.Event()
         self._started_at = self._last_tick = clock.monotonic()
         self._silent_since: float | None = None
+        self._confirm_until = 0.0
         self.suspect = False
 
     def check_pause(self) -> None:
@@ -82,10 +85,10 @@
         if gap > PAUSE_S:
             log_event(logger, Event.CLOCK_JUMPED, seconds=round(gap, 3))
             self._membership.skip_pause(gap)
-            self._mark_suspect()
+            self._mark_suspect(paused=True)
             self._on_pause(gap)
         elif self._router.suspect and not self.suspect:
-            self._mark_suspect()
+            self._mark_suspect(paused=True)
 
     def check_silence(self) -> None:
         """Mark the view suspect, once per silence, when nothing is heard."""
@@ -97,11 +100,13 @@
         silent = self._clock.monotonic() - heard_at > SILENCE_S
         if silent and self._silent_since != heard_at:
             self._silent_since = heard_at
-            self._mark_suspect()
+            self._mark_suspect(paused=False)
 
-    def _mark_suspect(self) -> None:
+    def _mark_suspect(self, *, paused: bool) -> None:
+        limit = PAUSED_CONFIRM_S if paused else CONFIRM_S
+        self._confirm_until = self._clock.monotonic() + limit
         self.suspect = True
-        self._router.mark_view_suspect()
+        self._router.mark_view_suspect(paused=paused)
         self._asked.set()
 
     async def run(self) -> None:
@@ -118,7 +123,8 @@
 
     async def _confirm(self) -> str:
         answer = _Answer()
-        with anyio.move_on_after(CONFIRM_S):
+        remaining = self._confirm_until - self._clock.monotonic()
+        with anyio.move_on_after(max(0.0, remaining)):
             async with anyio.create_task_group() as tasks:
                 for peer in self._membership.targets():
                     tasks.start_soon(self._ask_peer, peer, answer)
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -307,17 +307,17 @@
         servers = tuple(server_statuses(self._state))
         return RouterStatus(self.flows_held, self.exceptions_held, servers)
 
-    def mark_view_suspect(self) -> None:
-        """Hold packets until `confirm_view`, 500 ms at most.
+    def mark_view_suspect(self, *, paused: bool = False) -> None:
+        """Hold packets until `confirm_view`, 500 ms at most, 2 s after a pause.
 
         Called after a pause of the process or when neither peers nor platform were
         heard. Every certificate is void.
         """
         state = self._state
         now = state.now()
-        if not state.suspect:
+        if paused or not state.suspect:
             state.suspect = True
-            self._queue.start(now)
+            self._queue.start(now, paused=paused)
         state.certificates.void()
         self._owner.opener.doubt_held()
         state.epoch += 1
--- a/src/magnoliaslip/placement/suspect_queue.py
+++ b/src/magnoliaslip/placement/suspect_queue.py
@@ -6,6 +6,9 @@
 
 MAX_SUSPECT_PACKETS = 4_096
 SUSPECT_SECONDS = 0.5
+# After a pause others serve meanwhile, and on a busy machine peers have taken more than
+# 0.5 s to answer; packets then went to a zone that had been taken out.
+PAUSED_SECONDS = 2.0
 
 
 class SuspectQueue:
@@ -17,9 +20,10 @@
         self._waiting: deque[tuple[bytes, Direction, int]] = deque()
         self.deadline = 0.0
 
-    def start(self, now: float) -> None:
-        """Start to wait."""
-        self.deadline = now + SUSPECT_SECONDS
+    def start(self, now: float, *, paused: bool) -> None:
+        """Start to wait, longer after a pause of the process."""
+        limit = PAUSED_SECONDS if paused else SUSPECT_SECONDS
+        self.deadline = max(self.deadline, now + limit)
 
     def add(self, packet: bytes, direction: Direction, hops: int) -> bool:
         """Hold a packet; returns False when the queue is full."""
