--- a/src/magnoliaslip/peering/view_confirmation.py
+++ b/src/magnoliaslip/peering/view_confirmation.py
@@ -30,7 +30,8 @@
     After a pause, or when neither peers nor the platform were heard for 3 s, all
     peers and the platform are asked. The first full answer confirms the view; after
     500 ms, or 2 s after a pause, the instance serves on with what it has. Peers answer
-    by a number of the request, so that an answer from before the pause confirms nothing.
+    by a number of the request, so that an answer from before the pause confirms
+    nothing.
 
     Args:
         membership: Tells the peers and when they were heard.
