Apply a history to the router once; refresh samples and results

Cause: InstanceNode and PeerNode both applied each history to the router. Change: the peer node does it; the instance updates the data path only.

--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -157,7 +157,7 @@
         self.peering.on_message(msg)
 
     def _apply_history(self, history: tuple[HistoryEntry, ...]) -> None:
-        self.router.apply_history(history)
+        # The peer node, which subscribed first, has put it in force in the router.
         self.path.apply_snapshot(history[-1].snapshot)
 
     async def _join(self) -> None:
