Run on the fleet platform: tagged packets, registry and adapter

The platform's packets carry four bytes that both ends repeat, so a packet can name its backend server and any instance can forward it without a record. New in the product: registry (routes, registered servers, zones out, read from a store with list and watch), steering (server tags, placement of new flows, observation of flows) and runtime (the process). platform/ translates packets and entries.

The HTTP client now reports a reset connection as a connection error; it ended the process of an instance when the platform reset a watch.

--- a/src/magnoliaslip/config/http_client.py
+++ b/src/magnoliaslip/config/http_client.py
@@ -3,7 +3,7 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from anyio import EndOfStream, connect_tcp
+from anyio import BrokenResourceError, EndOfStream, connect_tcp
 from anyio.abc import ByteStream
 from h11 import (
     CLIENT,
@@ -55,7 +55,7 @@
         connect: Opens a byte stream to a host and port.
 
     Raises:
-        OSError: The address can't be reached.
+        OSError: The address can't be reached, or it reset the connection.
         ProtocolError: The answer is not HTTP/1.1.
     """
     conn = Connection(CLIENT)
@@ -69,8 +69,11 @@
         ],
     )
     async with await connect(address.host, address.port) as stream:
-        await stream.send(conn.send(request) + conn.send(EndOfMessage()))
-        return await _receive(conn, stream)
+        try:
+            await stream.send(conn.send(request) + conn.send(EndOfMessage()))
+            return await _receive(conn, stream)
+        except BrokenResourceError as exc:
+            raise ConnectionResetError(f"{address} reset the connection") from exc
 
 
 async def _receive(conn: Connection, stream: ByteStream) -> HttpAnswer:
--- a/src/magnoliaslip/config/jsonc.py
+++ b/src/magnoliaslip/config/jsonc.py
@@ -12,8 +12,6 @@
 from re import compile as compile_pattern
 from typing import Any, Self
 
-from json5 import loads as loads_json5
-
 from magnoliaslip.config.errors import (
     SettingsDuplicateKeyError,
     SettingsFileError,
@@ -82,6 +80,9 @@
             raise self._duplicate_error(exc) from exc
         except (ValueError, RecursionError):
             pass  # not strict JSON; json5 judges it and words the error
+        # Imported here, as instances whose settings are strict JSON start faster.
+        from json5 import loads as loads_json5
+
         try:
             return loads_json5(self._text, object_pairs_hook=_unique_pairs)
         except SettingsDuplicateKeyError as exc:
--- a/src/magnoliaslip/lab/http_server.py
+++ b/src/magnoliaslip/core/http_server.py
@@ -1,4 +1,4 @@
-"""A small HTTP/1.1 server for the stand-ins: ``h11`` on ``anyio``."""
+"""A small HTTP/1.1 server: ``h11`` on ``anyio``."""
 
 from collections.abc import Awaitable, Callable
 from contextlib import suppress
--- a/src/magnoliaslip/lab/platform_server.py
+++ b/src/magnoliaslip/lab/platform_server.py
@@ -8,7 +8,7 @@
 from msgspec.json import decode
 
 from magnoliaslip.core.address import Address
-from magnoliaslip.lab.http_server import (
+from magnoliaslip.core.http_server import (
     DropConnection,
     HttpAnswer,
     HttpRequest,
--- /dev/null
+++ b/src/magnoliaslip/registry/reader.py
@@ -0,0 +1,99 @@
+"""Keeps the directory at the newest revision of the store."""
+
+from collections.abc import Callable
+from logging import getLogger
+from random import Random
+
+from anyio import sleep
+
+from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.source import (
+    HistoryLostError,
+    RegistrySource,
+    StoreBusyError,
+)
+
+# A watch is renewed after this time in seconds; until then a connection that went
+# silent is not noticed.
+WATCH_S = 2.0
+# Pauses in seconds after a read that failed: the first one, doubled up to the last.
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 0.8
+
+logger = getLogger(__name__)
+
+
+class RegistryReader:
+    """Lists the store once, then follows its changes.
+
+    Args:
+        source: The store.
+        directory: Receives the changes.
+        on_change: Called after the directory changed.
+        rng: Source of the jitter of pauses.
+    """
+
+    __slots__ = ("_backoff", "_directory", "_down", "_on_change", "_rng", "_source")
+
+    def __init__(
+        self,
+        source: RegistrySource,
+        directory: Directory,
+        *,
+        on_change: Callable[[], None],
+        rng: Random,
+    ) -> None:
+        self._source = source
+        self._directory = directory
+        self._on_change = on_change
+        self._rng = rng
+        self._backoff = FIRST_BACKOFF_S
+        self._down = False
+
+    async def run(self) -> None:
+        """Read until cancelled."""
+        complete = False
+        while True:
+            try:
+                if complete:
+                    await self._follow()
+                else:
+                    complete = await self._list()
+                self._note_answer()
+            except HistoryLostError as exc:
+                log_event(logger, Event.HISTORY_LOST, reason=exc.message)
+                complete = False
+            except PlatformError as exc:
+                await self._pause(exc)
+
+    async def _list(self) -> bool:
+        changes = await self._source.list()
+        if not self._directory.replace(changes):
+            raise StoreBusyError(
+                f"the list has revision {changes.revision}, "
+                f"revision {self._directory.revision} is known"
+            )
+        self._on_change()
+        return True
+
+    async def _follow(self) -> None:
+        changes = await self._source.watch(
+            after=self._directory.revision, wait_s=WATCH_S
+        )
+        if self._directory.apply(changes) and changes.changes:
+            self._on_change()
+
+    def _note_answer(self) -> None:
+        self._backoff = FIRST_BACKOFF_S
+        if self._down:
+            self._down = False
+            log_event(logger, Event.PLATFORM_UP, revision=self._directory.revision)
+
+    async def _pause(self, exc: PlatformError) -> None:
+        if not self._down:
+            self._down = True
+            log_event(logger, Event.PLATFORM_DOWN, error=exc)
+        await sleep(self._backoff * self._rng.uniform(0.5, 1.0))
+        self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
--- /dev/null
+++ b/src/magnoliaslip/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""The process that forwards packets with server tags."""
--- /dev/null
+++ b/src/magnoliaslip/runtime/adapter.py
@@ -0,0 +1,35 @@
+"""What a platform adapter supplies to an instance."""
+
+from abc import ABC, abstractmethod
+from socket import socket as Socket  # noqa: N812
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.registry.source import RegistrySource
+from magnoliaslip.steering.link import TaggedLink
+from magnoliaslip.steering.packet import TaggedPacket
+
+
+class PlatformAdapter(ABC):
+    """Translates between the project's types and those of one platform.
+
+    Attributes:
+        readiness_path: Path at which the fabric asks whether an instance is ready.
+    """
+
+    readiness_path: str
+
+    @abstractmethod
+    def source(self, store: Address) -> RegistrySource:
+        """Return a reader of the platform's store."""
+
+    @abstractmethod
+    def link(self, sock: Socket) -> TaggedLink:
+        """Return a link that sends packets by a UDP socket."""
+
+    @abstractmethod
+    def decode(self, datagram: bytes) -> TaggedPacket:
+        """Decode a packet of a caller.
+
+        Raises:
+            PacketError: The datagram is no packet of a flow.
+        """
--- /dev/null
+++ b/src/magnoliaslip/steering/__init__.py
@@ -0,0 +1,1 @@
+"""Forwarding of flows whose packets carry a tag of their backend server."""
--- /dev/null
+++ b/src/magnoliaslip/steering/choice.py
@@ -0,0 +1,73 @@
+"""The choice of a backend server for a new flow."""
+
+from collections.abc import Collection
+from random import Random
+
+from magnoliaslip.steering.servers import KnownServer
+
+# A server of the own availability zone is taken until its load is this many times
+# the mean of the service (bounded loads).
+LOAD_BOUND = 1.25
+# Loads that differ by less than this share of the mean count as equal.
+LOAD_JITTER = 0.1
+
+
+class ServerChoice:
+    """Chooses among the servers that may get new flows.
+
+    Args:
+        zone: Availability zone of this instance.
+        rng: Breaks ties, so that instances do not choose alike.
+    """
+
+    __slots__ = ("_rng", "_zone")
+
+    def __init__(self, zone: str, *, rng: Random) -> None:
+        self._zone = zone
+        self._rng = rng
+
+    def choose(
+        self,
+        candidates: Collection[KnownServer],
+        now: float,
+        *,
+        tried: Collection[KnownServer] = (),
+    ) -> KnownServer | None:
+        """Choose a server, or None when there is no candidate.
+
+        Servers without suspicion go first, then warm ones, then those not yet tried
+        for this flow; when none is left, all candidates count.
+
+        Args:
+            candidates: Servers that may get new flows.
+            now: Monotonic time in seconds.
+            tried: Servers that did not answer this flow.
+        """
+        if not candidates:
+            return None
+        usable = (
+            [
+                known
+                for known in candidates
+                if known.reach.admits(now) and known not in tried
+            ]
+            or [known for known in candidates if known not in tried]
+            or list(candidates)
+        )
+        warm = [known for known in usable if known.cold_until <= now]
+        return self._least_loaded(warm or usable, now)
+
+    def _least_loaded(self, usable: list[KnownServer], now: float) -> KnownServer:
+        loads = {known.tag: known.load(now) for known in usable}
+        mean = sum(loads.values()) / len(loads)
+        jitter = mean * LOAD_JITTER + 1e-9
+
+        def order(known: KnownServer) -> float:
+            return loads[known.tag] + self._rng.random() * jitter
+
+        near = [known for known in usable if known.server.zone == self._zone]
+        if near:
+            best = min(near, key=order)
+            if loads[best.tag] <= LOAD_BOUND * mean + jitter:
+                return best
+        return min(usable, key=order)
--- /dev/null
+++ b/src/magnoliaslip/steering/flows.py
@@ -0,0 +1,88 @@
+"""What an instance remembers of the flows that it saw."""
+
+from magnoliaslip.steering.servers import KnownServer
+
+MAX_FLOWS = 100_000
+_HALF = 1 << 31
+_MASK = (1 << 32) - 1
+
+
+def is_after(seq: int, other: int) -> bool:
+    """Return whether a 32-bit sequence number comes after another.
+
+    >>> is_after(3, 0xFFFFFFFE)
+    True
+    >>> is_after(5, 5)
+    False
+    """
+    return seq != other and (seq - other) & _MASK < _HALF
+
+
+class FlowNote:
+    """Observations on one flow; losing them breaks nothing.
+
+    Attributes:
+        server: The server that the flow was last sent to.
+        tried: Servers that copies of the opening packet were sent to.
+        copy: Number of the last copy of the opening packet.
+        established: Whether the caller answered the server's handshake.
+        seq: Highest sequence number of data.
+        acked: Highest byte that the caller acknowledged.
+        waiting_since: Monotonic time in seconds of the first data packet that got no
+            answer; 0 when none waits.
+        seen_at: Monotonic time in seconds of the last packet.
+    """
+
+    __slots__ = (
+        "acked",
+        "copy",
+        "established",
+        "seen_at",
+        "seq",
+        "server",
+        "tried",
+        "waiting_since",
+    )
+
+    def __init__(self, now: float) -> None:
+        self.server: KnownServer | None = None
+        self.tried: tuple[KnownServer, ...] = ()
+        self.copy = 0
+        self.established = False
+        self.seq: int | None = None
+        self.acked = 0
+        self.waiting_since = 0.0
+        self.seen_at = now
+
+
+class FlowNotes:
+    """Notes by flow, bounded in number and age."""
+
+    __slots__ = ("_notes",)
+
+    def __init__(self) -> None:
+        self._notes: dict[bytes, FlowNote] = {}
+
+    def get(self, flow: bytes) -> FlowNote | None:
+        """Return the note of a flow."""
+        return self._notes.get(flow)
+
+    def create(self, flow: bytes, now: float) -> FlowNote:
+        """Start a new note; the oldest one goes when there are too many."""
+        if len(self._notes) >= MAX_FLOWS:
+            del self._notes[next(iter(self._notes))]
+        note = self._notes[flow] = FlowNote(now)
+        return note
+
+    def forget(self, flow: bytes) -> None:
+        """Drop the note of a flow."""
+        self._notes.pop(flow, None)
+
+    def expire(self, before: float) -> None:
+        """Drop the notes of flows that were last seen before a time."""
+        old = [flow for flow, note in self._notes.items() if note.seen_at < before]
+        for flow in old:
+            del self._notes[flow]
+
+    def __len__(self) -> int:
+        return len(self._notes)
--- /dev/null
+++ b/src/magnoliaslip/steering/packet.py
@@ -0,0 +1,65 @@
+"""A packet of a flow that carries a tag of its backend server."""
+
+from enum import IntFlag
+
+from magnoliaslip.registry.model import Endpoint
+
+
+class PacketKind(IntFlag):
+    """What a packet does to its flow."""
+
+    OPEN = 1
+    ACK = 2
+    CLOSE = 4
+    RESET = 8
+
+
+class TaggedPacket:
+    """One packet as it came from a caller.
+
+    Attributes:
+        flow: Addresses and ports of both ends; identifies the flow.
+        endpoint: Address and port that the caller sent it to.
+        kind: What it does to the flow.
+        copy: Number of earlier copies of an opening packet.
+        seq: Sequence number of its first byte, 32 bits.
+        acked: Next byte that the caller expects, 32 bits; 0 when it opens.
+        size: Bytes of data that it carries.
+        tag: Tag of the backend server, 32 bits; 0 when it has none.
+        raw: The packet as received.
+    """
+
+    __slots__ = (
+        "acked",
+        "copy",
+        "endpoint",
+        "flow",
+        "kind",
+        "raw",
+        "seq",
+        "size",
+        "tag",
+    )
+
+    def __init__(
+        self,
+        flow: bytes,
+        endpoint: Endpoint,
+        kind: int,
+        *,
+        copy: int = 0,
+        seq: int = 0,
+        acked: int = 0,
+        size: int = 0,
+        tag: int = 0,
+        raw: bytes = b"",
+    ) -> None:
+        self.flow = flow
+        self.endpoint = endpoint
+        self.kind = kind
+        self.copy = copy
+        self.seq = seq
+        self.acked = acked
+        self.size = size
+        self.tag = tag
+        self.raw = raw
--- /dev/null
+++ b/src/magnoliaslip/steering/router.py
@@ -0,0 +1,177 @@
+"""Decides where each tagged packet goes."""
+
+from collections import Counter
+from random import Random
+
+from xxhash import xxh32_intdigest
+
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import ServiceRoute
+from magnoliaslip.steering.choice import ServerChoice
+from magnoliaslip.steering.flows import FlowNote, FlowNotes, is_after
+from magnoliaslip.steering.link import TaggedLink
+from magnoliaslip.steering.packet import PacketKind, TaggedPacket
+from magnoliaslip.steering.servers import KnownServer, ServerSet
+
+# A flow may be forgotten when it is older than this, in seconds (protocol).
+MAX_FLOW_S = 60.0
+
+OPEN = int(PacketKind.OPEN)
+RESET = int(PacketKind.RESET)
+
+
+class TagRouter:
+    """Places new flows and forwards packets by the tag that they carry.
+
+    A packet without a usable tag is dropped, never reset: an instance that has not
+    heard of a server or a route can't know that it does not exist.
+
+    Args:
+        zone: Availability zone of this instance.
+        directory: Routes, servers and zones as published.
+        link: Sends packets.
+        rng: Breaks ties between servers.
+        counters: Receives counts of packets by outcome.
+    """
+
+    __slots__ = ("_choice", "_directory", "_link", "counters", "flows", "servers")
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        directory: Directory,
+        link: TaggedLink,
+        rng: Random,
+        counters: Counter[str],
+    ) -> None:
+        self._directory = directory
+        self._link = link
+        self._choice = ServerChoice(zone, rng=rng)
+        self.counters = counters
+        self.flows = FlowNotes()
+        self.servers = ServerSet(keep_s=MAX_FLOW_S)
+
+    def apply_directory(self, now: float) -> None:
+        """Take over what changed in the directory."""
+        self.servers.apply(self._directory, now)
+
+    def on_tick(self, now: float) -> None:
+        """Forget old flows and servers; called about once a second."""
+        table = self._directory.table
+        idle_s = table.idle_timeout_s if table else MAX_FLOW_S
+        self.flows.expire(now - min(idle_s, MAX_FLOW_S))
+        self.servers.apply(self._directory, now)
+
+    def handle(self, packet: TaggedPacket, now: float) -> None:
+        """Forward, reset or drop one packet.
+
+        Args:
+            packet: A packet of a caller.
+            now: Monotonic time in seconds.
+        """
+        table = self._directory.table
+        if table is None:
+            self.counters["drop_no_table"] += 1
+            return
+        route = table.routes.get(packet.endpoint)
+        if packet.kind & OPEN:
+            self._open(packet, route, now)
+        elif route is None:
+            self.counters["drop_no_route"] += 1
+        else:
+            self._forward(packet, route, now)
+
+    def _open(
+        self, packet: TaggedPacket, route: ServiceRoute | None, now: float
+    ) -> None:
+        if route is None:
+            self.counters["reset_no_route"] += 1
+            self._link.send_reset(packet)
+            return
+        note = self.flows.get(packet.flow)
+        if note is None or note.established or packet.copy < note.copy:
+            note = self.flows.create(packet.flow, now)
+        elif packet.copy == note.copy and note.server is not None:
+            self._send(note.server, packet)
+            return
+        elif note.server is not None:
+            note.server.reach.note_silence(packet.flow, now, opening=True)
+            note.tried += (note.server,)
+        service = _service(route, packet.flow)
+        known = self._choice.choose(
+            self.servers.candidates(service), now, tried=note.tried
+        )
+        note.copy = packet.copy
+        note.seen_at = now
+        note.server = known
+        if known is None:
+            self.counters["drop_no_server"] += 1
+            return
+        known.reach.note_placed(now)
+        self._send(known, packet)
+
+    def _forward(self, packet: TaggedPacket, route: ServiceRoute, now: float) -> None:
+        known = self.servers.find(packet.tag)
+        note = self.flows.get(packet.flow)
+        if note is not None and note.established and note.server is not None:
+            # An answer of a second server to a copy of the opening packet may have
+            # changed the tag after the flow was established.
+            known = note.server
+        if known is None:
+            self.counters["drop_unknown_tag"] += 1
+            return
+        if not _serves(route, known.server.service):
+            self.counters["drop_foreign_tag"] += 1
+            return
+        if note is None:
+            note = self.flows.create(packet.flow, now)
+        self._observe(note, known, packet, now)
+        self._send(known, packet)
+        if packet.kind & RESET:
+            self.flows.forget(packet.flow)
+
+    def _observe(
+        self, note: FlowNote, known: KnownServer, packet: TaggedPacket, now: float
+    ) -> None:
+        """Conclude from a caller's packet whether its server answers."""
+        note.seen_at = now
+        if not note.established:
+            note.established = True
+            note.server = known
+            note.acked = packet.acked
+            known.reach.note_progress(now)
+        elif is_after(packet.acked, note.acked):
+            note.acked = packet.acked
+            note.waiting_since = 0.0
+            known.reach.note_progress(now)
+        if not packet.size:
+            return
+        if note.seq is None or is_after(packet.seq, note.seq):
+            note.seq = packet.seq
+            if not note.waiting_since:
+                note.waiting_since = now
+                known.requests.add(now)
+        else:
+            known.reach.note_silence(packet.flow, now, opening=False)
+
+    def _send(self, known: KnownServer, packet: TaggedPacket) -> None:
+        self.counters["forwarded"] += 1
+        self._link.send_to_server(known.server, packet, known.tag)
+
+
+def _service(route: ServiceRoute, flow: bytes) -> str:
+    """Return the service of a new flow; every copy gets the same one."""
+    targets = route.targets
+    if len(targets) == 1:
+        return targets[0].service
+    point = xxh32_intdigest(flow) / 2**32 * sum(target.weight for target in targets)
+    for target in targets:
+        point -= target.weight
+        if point < 0:
+            return target.service
+    return targets[-1].service
+
+
+def _serves(route: ServiceRoute, service: str) -> bool:
+    return any(target.service == service for target in route.targets)
--- /dev/null
+++ b/src/magnoliaslip/steering/servers.py
@@ -0,0 +1,149 @@
+"""The backend servers that an instance knows, and those that left."""
+
+from collections.abc import Iterator
+from math import exp
+
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import RegisteredServer
+from magnoliaslip.steering.reachability import Reachability
+from magnoliaslip.steering.tags import server_tag
+
+# Time constant in seconds of the rate of requests; about one feed request a user.
+RATE_WINDOW_S = 1.0
+
+
+class RequestRate:
+    """A rate of requests that decays exponentially."""
+
+    __slots__ = ("_at", "_value")
+
+    def __init__(self) -> None:
+        self._value = 0.0
+        self._at = 0.0
+
+    def add(self, now: float) -> None:
+        """Count one request."""
+        self._value = self.per_s(now) + 1.0 / RATE_WINDOW_S
+        self._at = now
+
+    def per_s(self, now: float) -> float:
+        """Return requests per second."""
+        return self._value * exp((self._at - now) / RATE_WINDOW_S)
+
+
+class KnownServer:
+    """One start of a backend server with what this instance observed of it.
+
+    Attributes:
+        server: Its registration.
+        tag: Tag that packets of its flows carry.
+        registered: Whether the registration still stands.
+        left_at: Monotonic time in seconds at which it was removed.
+        cold_until: Monotonic time in seconds at which it is warm.
+        reach: Evidence of its reachability.
+        requests: Requests that this instance forwarded.
+        peer_load: Requests per second that other instances forwarded.
+    """
+
+    __slots__ = (
+        "cold_until",
+        "left_at",
+        "peer_load",
+        "reach",
+        "registered",
+        "requests",
+        "server",
+        "tag",
+    )
+
+    def __init__(self, server: RegisteredServer, *, cold_until: float) -> None:
+        self.server = server
+        self.tag = server_tag(server)
+        self.registered = True
+        self.left_at = 0.0
+        self.cold_until = cold_until
+        self.reach = Reachability()
+        self.requests = RequestRate()
+        self.peer_load = 0.0
+
+    def load(self, now: float) -> float:
+        """Return requests per second and slot over all instances."""
+        return (self.requests.per_s(now) + self.peer_load) / self.server.slots
+
+
+class ServerSet:
+    """All servers that packets may be sent to.
+
+    A server that left keeps its tag for `keep_s`: it may still hold flows, and its
+    packets name the intended server, so that nobody else takes them.
+
+    Args:
+        keep_s: Seconds for which a server that left is remembered.
+    """
+
+    __slots__ = ("_by_incarnation", "_by_service", "_by_tag", "_keep_s")
+
+    def __init__(self, *, keep_s: float) -> None:
+        self._keep_s = keep_s
+        self._by_incarnation: dict[tuple[str, int], KnownServer] = {}
+        self._by_tag: dict[int, KnownServer] = {}
+        self._by_service: dict[str, list[KnownServer]] = {}
+
+    def apply(self, directory: Directory, now: float) -> None:
+        """Take over the registrations and zones of a directory."""
+        registered = set()
+        for server in directory.servers.values():
+            registered.add(server.incarnation)
+            self._register(server, now)
+        for incarnation, known in list(self._by_incarnation.items()):
+            if incarnation not in registered:
+                self._leave(incarnation, known, now)
+        self._by_service = {}
+        for known in self._by_incarnation.values():
+            server = known.server
+            if (
+                known.registered
+                and not server.draining
+                and server.zone not in directory.zones_out
+                and self._by_tag.get(known.tag) is known
+            ):
+                self._by_service.setdefault(server.service, []).append(known)
+
+    def find(self, tag: int) -> KnownServer | None:
+        """Return the server that a tag stands for."""
+        return self._by_tag.get(tag)
+
+    def candidates(self, service: str) -> list[KnownServer]:
+        """Return the servers of a service that may get new flows."""
+        return self._by_service.get(service, [])
+
+    def __iter__(self) -> Iterator[KnownServer]:
+        return iter(self._by_incarnation.values())
+
+    def __len__(self) -> int:
+        return len(self._by_incarnation)
+
+    def _register(self, server: RegisteredServer, now: float) -> None:
+        known = self._by_incarnation.get(server.incarnation)
+        cold_until = now + server.cold_ms / 1000
+        if known is None:
+            known = KnownServer(server, cold_until=cold_until)
+            self._by_incarnation[server.incarnation] = known
+            # Of two servers with the same tag, the one that has it keeps it; the
+            # other gets no flows.
+            self._by_tag.setdefault(known.tag, known)
+        elif known.server is not server:
+            known.server = server
+            known.cold_until = cold_until
+        known.registered = True
+
+    def _leave(
+        self, incarnation: tuple[str, int], known: KnownServer, now: float
+    ) -> None:
+        if known.registered:
+            known.registered = False
+            known.left_at = now
+        elif now > known.left_at + self._keep_s:
+            del self._by_incarnation[incarnation]
+            if self._by_tag.get(known.tag) is known:
+                del self._by_tag[known.tag]
--- a/tests/config/test_http_platform.py
+++ b/tests/config/test_http_platform.py
@@ -139,3 +139,17 @@
     client, _ = platform({1: Answering(head[:cut] + tail + head[cut:])})
     with suppress(PlatformError):
         anyio.run(client.read, "zones")
+
+
+class Resetting(Answering):
+    """A byte stream whose peer resets the connection before it answers."""
+
+    async def receive(self, max_bytes):
+        raise anyio.BrokenResourceError
+
+
+def test_reset_connection_is_a_platform_error():
+    # Guards against a reader that ends its process when the platform resets.
+    source, _ = platform([Resetting(b"")])
+    with pytest.raises(PlatformError):
+        anyio.run(source.read, "index")
--- /dev/null
+++ b/tests/platform/test_boundary.py
@@ -0,0 +1,35 @@
+"""Guards against names of the platform's wire outside the adapter."""
+
+from pathlib import Path
+from re import compile as compile_pattern
+
+ROOT = Path(__file__).parents[2]
+MAX_LINES = 600
+WIRE_NAMES = compile_pattern(
+    r"servers/|op/evacuate|op/config|kv-(range|watch|key)|warmup_remaining_ms|"
+    r"heartbeat_ms|datagram_listener|readiness_address|warmup_per_s|stale_ok|as_of|"
+    r"has_more|traffic_split|idle_timeout_ms|v1/readiness|internal_port_range"
+)
+
+
+def sources(folder):
+    return list((ROOT / folder).rglob("*.py"))
+
+
+def test_no_wire_name_in_the_product():
+    found = [
+        (path.name, match.group())
+        for path in sources("src")
+        for match in WIRE_NAMES.finditer(path.read_text())
+    ]
+    assert not found
+
+
+def test_product_does_not_import_the_adapter():
+    assert not [
+        path.name for path in sources("src") if "fleet_adapter" in path.read_text()
+    ]
+
+
+def test_adapter_is_small():
+    assert sum(len(p.read_text().splitlines()) for p in sources("platform")) < MAX_LINES
--- /dev/null
+++ b/tests/platform/test_entries.py
@@ -0,0 +1,139 @@
+"""Guards against entries of the store that are misread or end the process."""
+
+from base64 import b64encode
+from json import dumps
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from fleet_adapter.entries import Item, decode_item
+from magnoliaslip.core.address import Address
+from magnoliaslip.registry.model import (
+    RegisteredServer,
+    ServiceLimits,
+    ServiceRoute,
+    WeightedService,
+)
+from magnoliaslip.registry.source import RoutesChange, ServerChange, ZoneChange
+
+ENTRY = {
+    "service": "desk",
+    "address": "10.128.0.9:8080",
+    "zone": "a",
+    "version": "v1",
+    "slots": 4,
+    "state": "ready",
+    "warmup_remaining_ms": 250,
+    "sequence": 4,
+    "born": 1700000000000,
+}
+CONFIG = {
+    "version": 7,
+    "routes": [
+        {
+            "host": "198.18.0.1",
+            "prefix": "/8080/",
+            "type": "idempotent",
+            "service": "d",
+        },
+        {
+            "host": "198.18.0.2",
+            "prefix": "/443/",
+            "type": "upload",
+            "traffic_split": [
+                {"service": "d", "weight": 90},
+                {"service": "e", "weight": 10},
+            ],
+        },
+    ],
+    "services": [{"name": "d", "max_connections": 2000, "warmup_per_s": 12.5}],
+    "limits": {"idle_timeout_ms": 15000},
+}
+
+
+def item(key, value):
+    data = value if isinstance(value, bytes) else dumps(value).encode()
+    return Item(key, b64encode(data).decode())
+
+
+def test_decodes_a_registration():
+    assert decode_item(item("servers/i-0a", ENTRY)) == ServerChange(
+        "i-0a",
+        RegisteredServer(
+            "i-0a",
+            1700000000000,
+            "desk",
+            Address("10.128.0.9", 8080),
+            "a",
+            4,
+            draining=False,
+            cold_ms=250,
+        ),
+    )
+
+
+def test_decodes_routes():
+    change = decode_item(item("op/config", CONFIG))
+    assert isinstance(change, RoutesChange)
+    assert change.table.version == 7
+    assert change.table.idle_timeout_s == 15
+    assert change.table.services == {"d": ServiceLimits("d", 12.5, 2000)}
+    assert list(change.table.routes.values()) == [
+        ServiceRoute((0xC6120001, 8080), (WeightedService("d", 1.0),), idempotent=True),
+        ServiceRoute(
+            (0xC6120002, 443), (WeightedService("d", 90), WeightedService("e", 10))
+        ),
+    ]
+
+
+def test_decodes_a_zone_out_and_back():
+    assert decode_item(item("op/evacuate/a", {})) == ZoneChange("a", out=True)
+    removed = Item("op/evacuate/a", removed=True)
+    assert decode_item(removed) == ZoneChange("a", out=False)
+
+
+def test_removal_of_a_registration():
+    removed = Item("servers/i-0a", removed=True)
+    assert decode_item(removed) == ServerChange("i-0a", None)
+
+
+@pytest.mark.parametrize(
+    "fault",
+    [
+        {"state": "asleep"},
+        {"slots": "4"},
+        {"slots": 0},
+        {"address": "nowhere"},
+        {"warmup_remaining_ms": None},
+    ],
+)
+def test_unreadable_registration_names_no_server(fault):
+    assert decode_item(item("servers/i-0a", ENTRY | fault)) == ServerChange(
+        "i-0a", None
+    )
+
+
+@pytest.mark.parametrize("missing", ["service", "address", "zone", "state"])
+def test_registration_with_a_missing_field_names_no_server(missing):
+    entry = {key: value for key, value in ENTRY.items() if key != missing}
+    assert decode_item(item("servers/i-0a", entry)) == ServerChange("i-0a", None)
+
+
+def test_identifier_without_hex_digits_names_no_server():
+    assert decode_item(item("servers/nobody", ENTRY)) == ServerChange("nobody", None)
+
+
+def test_unreadable_routes_leave_those_in_force():
+    assert decode_item(item("op/config", b"\xff{")) is None
+    assert decode_item(item("op/config", CONFIG | {"version": "7"})) is None
+
+
+@given(
+    st.sampled_from(["servers/i-1", "servers/", "op/config", "op/evacuate/", "x"]),
+    st.binary(max_size=200) | st.text(max_size=200),
+    st.booleans(),
+)
+def test_any_item_is_decoded_or_ignored(key, value, removed):
+    text = value if isinstance(value, str) else b64encode(value).decode()
+    decode_item(Item(key, text, removed))
--- /dev/null
+++ b/tests/registry/test_reader.py
@@ -0,0 +1,103 @@
+"""Guards against a reader that stops, goes back or misses changes."""
+
+from random import Random
+
+import anyio
+
+from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.reader import RegistryReader
+from magnoliaslip.registry.source import (
+    Changes,
+    HistoryLostError,
+    RegistrySource,
+    ServerChange,
+    StoreBusyError,
+    ZoneChange,
+)
+from tests.steering.rig import server
+
+
+class ScriptedSource(RegistrySource):
+    """Answers calls with scripted results, then never again."""
+
+    def __init__(self, *results):
+        self.results = list(results)
+        self.calls = []
+
+    async def list(self):
+        return await self._next("list")
+
+    async def watch(self, *, after, wait_s):
+        return await self._next(after)
+
+    async def _next(self, call):
+        if not self.results:
+            self.done.set()
+            await anyio.sleep_forever()
+        self.calls.append(call)
+        result = self.results.pop(0)
+        if isinstance(result, Exception):
+            raise result
+        return result
+
+
+def read(*results):
+    """Run a reader over scripted results; returns directory and calls."""
+    source, directory = ScriptedSource(*results), Directory()
+
+    async def main():
+        source.done = anyio.Event()
+        reader = RegistryReader(
+            source, directory, on_change=lambda: None, rng=Random(1)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reader.run)
+            await source.done.wait()
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    return directory, source.calls
+
+
+def add(name):
+    return ServerChange(name, server(name))
+
+
+def test_follows_the_changes_after_the_list():
+    directory, calls = read(Changes(5, (add("i-1"),)), Changes(6, (add("i-2"),)))
+    assert set(directory.servers) == {"i-1", "i-2"}
+    assert calls == ["list", 5]
+
+
+def test_lost_history_is_listed_again_without_what_was_removed_meanwhile():
+    directory, calls = read(
+        Changes(5, (add("i-1"), ZoneChange("a", out=True))),
+        HistoryLostError("gone"),
+        Changes(9, (add("i-2"),)),
+    )
+    assert set(directory.servers) == {"i-2"}
+    assert not directory.zones_out
+    assert calls == ["list", 5, "list"]
+
+
+def test_failed_watch_goes_on_where_it_was():
+    directory, calls = read(
+        Changes(5, (add("i-1"),)),
+        StoreBusyError("status 429"),
+        PlatformError("no answer"),
+        Changes(6, (add("i-2"),)),
+    )
+    assert calls == ["list", 5, 5, 5]
+    assert set(directory.servers) == {"i-1", "i-2"}
+
+
+def test_list_of_an_older_revision_is_not_taken():
+    directory, _ = read(
+        Changes(5, (add("i-1"),)),
+        HistoryLostError("gone"),
+        Changes(3, (add("i-2"),)),
+        Changes(7, (add("i-3"),)),
+    )
+    assert set(directory.servers) == {"i-3"}
+    assert directory.revision == 7
--- /dev/null
+++ b/tests/steering/rig.py
@@ -0,0 +1,103 @@
+"""A router with a link that collects what it sends."""
+
+from collections import Counter
+from random import Random
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import (
+    RegisteredServer,
+    RouteTable,
+    ServiceLimits,
+    ServiceRoute,
+    WeightedService,
+)
+from magnoliaslip.registry.source import Changes, RoutesChange, ServerChange
+from magnoliaslip.steering.link import TaggedLink
+from magnoliaslip.steering.packet import PacketKind, TaggedPacket
+from magnoliaslip.steering.router import TagRouter
+
+DESK = (0xC6120001, 443)
+LAB = (0xC6120002, 443)
+START = 100.0
+
+
+class CollectingLink(TaggedLink):
+    """Keeps what was sent."""
+
+    def __init__(self):
+        self.sent = []
+        self.resets = []
+
+    def send_to_server(self, server, packet, tag):
+        self.sent.append((server.id, packet, tag))
+
+    def send_reset(self, packet):
+        self.resets.append(packet)
+
+
+def server(name, *, zone="a", service="desk", slots=4, **fields):
+    address = Address(f"10.0.0.{len(name) + ord(name[-1])}", 80)
+    return RegisteredServer(
+        name, fields.pop("started_ms", 1), service, address, zone, slots, **fields
+    )
+
+
+def routes(version=1, endpoints=(DESK, LAB)):
+    names = {DESK: "desk", LAB: "lab"}
+    return RouteTable(
+        version,
+        {
+            endpoint: ServiceRoute(
+                endpoint, (WeightedService(names[endpoint], 1.0),), endpoint == DESK
+            )
+            for endpoint in endpoints
+        },
+        {name: ServiceLimits(name) for name in ("desk", "lab")},
+    )
+
+
+class Rig:
+    """One router; `now` is the time of the next packet."""
+
+    def __init__(self, *servers, zone="a", table=None):
+        self.now = START
+        self.link = CollectingLink()
+        self.directory = Directory()
+        self.counters = Counter()
+        self.router = TagRouter(
+            zone,
+            directory=self.directory,
+            link=self.link,
+            rng=Random(1),
+            counters=self.counters,
+        )
+        self.publish(RoutesChange(table or routes()))
+        self.publish(*(ServerChange(s.id, s) for s in servers))
+
+    def publish(self, *changes):
+        self.directory.apply(Changes(self.directory.revision + 1, changes))
+        self.router.apply_directory(self.now)
+
+    def handle(self, **fields):
+        """Handle a packet; returns the servers that it went to."""
+        packet = TaggedPacket(
+            fields.pop("flow", b"flow"),
+            fields.pop("endpoint", DESK),
+            fields.pop("kind", PacketKind.ACK),
+            **fields,
+        )
+        count = len(self.link.sent)
+        self.router.handle(packet, self.now)
+        return [name for name, _, _ in self.link.sent[count:]]
+
+    def open(self, flow=b"flow", *, copy=0, endpoint=DESK):
+        """Open a flow; returns the server that was chosen, or None."""
+        sent = self.handle(
+            flow=flow, kind=PacketKind.OPEN, copy=copy, endpoint=endpoint
+        )
+        return sent[0] if sent else None
+
+    def tag(self, name):
+        """Return the tag of a registered server."""
+        return next(k.tag for k in self.router.servers if k.server.id == name)
