Forward packets before the event loop is imported

Cause: after a power loss an instance with 0.236 of a core needed 0.95 s from the start of the interpreter to its first packet, 0.62 s of it for imports.

Now a plain loop forwards by a directory that was read once, while a thread imports anyio and the rest; the event loop then takes over the same socket, directory and router. What runs before the first packet uses neither dataclasses nor msgspec, and httptools parses HTTP answers in place of h11, in the only HTTP client. The store is listed in one call.

Ruled out: asyncio without anyio, which saves a third as much.

--- a/src/magnoliaslip/bench/datapath.py
+++ b/src/magnoliaslip/bench/datapath.py
@@ -18,8 +18,8 @@
 from magnoliaslip.core.links import Direction
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.dataplane.path import DataPath
-from magnoliaslip.dataplane.udp import open_udp, receive_batch
 from magnoliaslip.dataplane.udp_link import UdpPacketLink
+from magnoliaslip.dataplane.udp_socket import open_udp, receive_batch
 from magnoliaslip.packet.flow_key import ACK, PSH, SYN, make_key
 from magnoliaslip.packet.segment import Segment
 from magnoliaslip.packet.tunnel import Relay
--- a/src/magnoliaslip/config/http_platform.py
+++ b/src/magnoliaslip/config/http_platform.py
@@ -4,13 +4,13 @@
 from urllib.parse import quote
 
 from anyio import connect_tcp, fail_after, sleep
-from h11 import ProtocolError
 
-from magnoliaslip.config.http_client import Connect, HttpAnswer, http_get
+from magnoliaslip.config.http_client import Connect, http_get
 from magnoliaslip.config.platform import Platform, PlatformValue
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
 from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.http_exchange import HttpAnswer, HttpProtocolError
 
 READ_TIMEOUT_S = 2.0
 WATCH_GRACE_S = 2.0  # a watch that is silent this long past its deadline is dead
@@ -104,7 +104,7 @@
                     return await self._exchange(address, target)
             except TimeoutError:
                 error = _error(address, f"no answer to {target} in {timeout:.1f} s")
-            except (OSError, ProtocolError) as exc:
+            except (OSError, HttpProtocolError) as exc:
                 error = _error(address, f"request of {target} failed: {exc}")
             except PlatformError as exc:
                 error = exc
--- a/src/magnoliaslip/config/jsonc.py
+++ b/src/magnoliaslip/config/jsonc.py
@@ -8,7 +8,7 @@
 """
 
 from json import loads as loads_json
-from pathlib import Path
+from os import PathLike, stat
 from re import compile as compile_pattern
 from typing import Any, Self
 
@@ -17,7 +17,6 @@
     SettingsFileError,
     SettingsSyntaxError,
 )
-from magnoliaslip.config.line_map import LineMap
 
 MAX_FILE_BYTES = 64_000_000
 
@@ -44,16 +43,17 @@
         self.value: Any = self._decode()
 
     @classmethod
-    def load(cls, path: Path) -> Self:
+    def load(cls, path: str | PathLike[str]) -> Self:
         """Read and decode a file.
 
         Raises:
             SettingsError: The file cannot be read or decoded.
         """
         try:
-            if path.stat().st_size > MAX_FILE_BYTES:
+            if stat(path).st_size > MAX_FILE_BYTES:
                 raise OSError(f"the file is larger than {MAX_FILE_BYTES} bytes")
-            text = path.read_text(encoding="utf-8")
+            with open(path, encoding="utf-8") as file:
+                text = file.read()
         except (OSError, UnicodeDecodeError) as exc:
             raise SettingsFileError(
                 f"the file cannot be read: {exc}",
@@ -68,6 +68,9 @@
         Args:
             path: Path such as ``pools[0].servers[1].zone``.
         """
+        # Imported here, as it is needed for errors only.
+        from magnoliaslip.config.line_map import LineMap
+
         line = LineMap(self._text).line(path)
         name = self.name if line is None else f"{self.name}:{line}"
         return f"{name}: {path}" if path else name
@@ -98,6 +101,8 @@
     def _duplicate_error(
         self, exc: SettingsDuplicateKeyError
     ) -> SettingsDuplicateKeyError:
+        from magnoliaslip.config.line_map import LineMap
+
         path, line = LineMap(self._text).duplicate or (exc.place, 0)
         place = f"{self.name}:{line}: {path}" if line else f"{self.name}: {path}"
         return SettingsDuplicateKeyError(exc.message, place=place, remedy=exc.remedy)
--- a/src/magnoliaslip/core/address.py
+++ b/src/magnoliaslip/core/address.py
@@ -1,6 +1,6 @@
 """Transport addresses."""
 
-from ipaddress import ip_address
+from socket import AF_INET, AF_INET6, inet_ntop, inet_pton
 from typing import NamedTuple, Self
 
 
@@ -26,7 +26,12 @@
         host, separator, port_text = text.rpartition(":")
         if not separator or not port_text.isascii() or not port_text.isdigit():
             raise ValueError(f"{text!r} is not of the form ADDRESS:PORT")
-        host = str(ip_address(host.strip("[]")))
+        host = host.strip("[]")
+        family = AF_INET6 if ":" in host else AF_INET
+        try:
+            host = inet_ntop(family, inet_pton(family, host))
+        except OSError as exc:
+            raise ValueError(f"{host!r} is not an IP address") from exc
         port = int(port_text)
         if not 0 < port < 65536:
             raise ValueError(f"port {port} is not between 1 and 65535")
--- /dev/null
+++ b/src/magnoliaslip/core/record.py
@@ -0,0 +1,40 @@
+"""Value objects with slots.
+
+``dataclasses`` takes a tenth of the processor time of an instance's start, most of
+it to import ``inspect``; the modules that run before the first packet use this.
+"""
+
+from typing import Any
+
+
+class Record:
+    """Base class of value objects: equality and representation by their slots.
+
+    >>> class Point(Record):
+    ...     __slots__ = ("x", "y")
+    ...
+    ...     def __init__(self, x: int, y: int) -> None:
+    ...         self.x = x
+    ...         self.y = y
+    >>> Point(1, 2) == Point(1, 2)
+    True
+    >>> Point(1, 2)
+    Point(x=1, y=2)
+    """
+
+    __slots__ = ()
+
+    def _values(self) -> tuple[Any, ...]:
+        return tuple(getattr(self, name) for name in self.__slots__)
+
+    def __eq__(self, other: object) -> bool:
+        if type(other) is not type(self):
+            return NotImplemented
+        return self._values() == other._values()
+
+    def __hash__(self) -> int:
+        return hash(self._values())
+
+    def __repr__(self) -> str:
+        fields = ", ".join(f"{name}={getattr(self, name)!r}" for name in self.__slots__)
+        return f"{type(self).__name__}({fields})"
--- a/src/magnoliaslip/instance/health.py
+++ b/src/magnoliaslip/instance/health.py
@@ -4,13 +4,13 @@
 from logging import getLogger
 
 from anyio import create_task_group, fail_after, sleep
-from h11 import ProtocolError
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import decode
 
 from magnoliaslip.config.http_client import http_get
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.http_exchange import HttpProtocolError
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.placement.health_intake import HealthIntake
 
@@ -57,7 +57,7 @@
             if answer.status != 200:
                 return None
             return decode(answer.body, type=HealthReport)
-        except (OSError, TimeoutError, ProtocolError, DecodeError, ValidationError):
+        except (OSError, TimeoutError, HttpProtocolError, DecodeError, ValidationError):
             return None
 
 
--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -18,8 +18,9 @@
 from magnoliaslip.core.history_file import FileRecorder
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.core.recorder import NullRecorder, Recorder
-from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
+from magnoliaslip.dataplane.udp import read_batches, read_batches_from
 from magnoliaslip.dataplane.udp_link import UdpPacketLink
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.instance.admin import AdminService
 from magnoliaslip.instance.health import HttpHealthSource
 from magnoliaslip.instance.node import InstanceNode
--- a/src/magnoliaslip/lab/backend_process.py
+++ b/src/magnoliaslip/lab/backend_process.py
@@ -13,7 +13,7 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.http_server import HttpAnswer, HttpRequest, serve_http
-from magnoliaslip.dataplane.udp import open_udp
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.lab.backend import BackendServerModel
 from magnoliaslip.lab.health import HealthMode
 from magnoliaslip.lab.model_loop import open_recorder, run_model, sender
--- a/src/magnoliaslip/lab/caller_process.py
+++ b/src/magnoliaslip/lab/caller_process.py
@@ -11,7 +11,7 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.http_server import HttpAnswer, HttpRequest, serve_http
-from magnoliaslip.dataplane.udp import open_udp
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.lab.caller import CallerModel
 from magnoliaslip.lab.load import LoadConfig
 from magnoliaslip.lab.model_loop import open_recorder, run_model, sender
--- a/src/magnoliaslip/lab/control_front.py
+++ b/src/magnoliaslip/lab/control_front.py
@@ -28,7 +28,8 @@
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
-from magnoliaslip.dataplane.udp import open_udp, read_batches_from
+from magnoliaslip.dataplane.udp import read_batches_from
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.lab.fabric import FabricModel
 from magnoliaslip.lab.model_loop import send_to
 
--- a/src/magnoliaslip/lab/fabric_process.py
+++ b/src/magnoliaslip/lab/fabric_process.py
@@ -16,7 +16,8 @@
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.group import InstanceEntry
 from magnoliaslip.core.http_server import HttpAnswer, HttpRequest, serve_http
-from magnoliaslip.dataplane.udp import open_udp, read_batches, read_batches_from
+from magnoliaslip.dataplane.udp import read_batches, read_batches_from
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.lab.control_front import ControlFronts, FrontLine
 from magnoliaslip.lab.fabric import FabricModel, PathRule, ServerPort
 from magnoliaslip.lab.model_loop import run_timers, send_to
--- a/src/magnoliaslip/registry/directory.py
+++ b/src/magnoliaslip/registry/directory.py
@@ -1,13 +1,12 @@
 """The state that all published changes lead to."""
 
-from collections.abc import Iterable
-
 from magnoliaslip.registry.model import RegisteredServer, RouteTable
 from magnoliaslip.registry.source import (
     Change,
     Changes,
     RoutesChange,
     ServerChange,
+    UnreadableEntry,
     ZoneChange,
 )
 
@@ -69,10 +68,6 @@
         changes += [ServerChange(s.id, s) for s in self.servers.values()]
         return Changes(self.revision, tuple(changes))
 
-    def services(self) -> Iterable[str]:
-        """Return the names of all services that have a registered server."""
-        return {server.service for server in self.servers.values()}
-
     def _apply(self, change: Change) -> None:
         if isinstance(change, ServerChange):
             if change.server is None:
@@ -83,6 +78,9 @@
             # Routes never go back to an older version.
             if self.table is None or change.table.version >= self.table.version:
                 self.table = change.table
+        elif isinstance(change, UnreadableEntry):
+            if change.server_id is not None:
+                self.servers.pop(change.server_id, None)
         elif change.out:
             self.zones_out.add(change.zone)
         else:
--- a/src/magnoliaslip/registry/model.py
+++ b/src/magnoliaslip/registry/model.py
@@ -1,14 +1,12 @@
 """Types of the registry: routes, services and registered backend servers."""
 
-from dataclasses import dataclass, field
-
-from magnoliaslip.core.address import Address
+from magnoliaslip.core.record import Record
 
 Endpoint = tuple[int, int]  # IPv4 address as a number, port
+SocketAddress = tuple[str, int]
 
 
-@dataclass(slots=True, frozen=True)
-class WeightedService:
+class WeightedService(Record):
     """A service that takes part of the flows of a route.
 
     Attributes:
@@ -16,12 +14,14 @@
         weight: Share relative to the other services of the route; above 0.
     """
 
-    service: str
-    weight: float
+    __slots__ = ("service", "weight")
+
+    def __init__(self, service: str, weight: float) -> None:
+        self.service = service
+        self.weight = weight
 
 
-@dataclass(slots=True, frozen=True)
-class ServiceRoute:
+class ServiceRoute(Record):
     """Traffic to one endpoint belongs to one or more services.
 
     Attributes:
@@ -30,13 +30,25 @@
         idempotent: Whether callers may repeat every request of the route.
     """
 
-    endpoint: Endpoint
-    targets: tuple[WeightedService, ...]
-    idempotent: bool = False
+    __slots__ = ("endpoint", "idempotent", "targets")
+
+    def __init__(
+        self,
+        endpoint: Endpoint,
+        targets: tuple[WeightedService, ...],
+        *,
+        idempotent: bool = False,
+    ) -> None:
+        self.endpoint = endpoint
+        self.targets = targets
+        self.idempotent = idempotent
 
+    def serves(self, service: str) -> bool:
+        """Return whether flows of the route may go to a service."""
+        return any(target.service == service for target in self.targets)
 
-@dataclass(slots=True, frozen=True)
-class ServiceLimits:
+
+class ServiceLimits(Record):
     """What a service states about its backend servers.
 
     Attributes:
@@ -46,13 +58,17 @@
         max_connections: Flows that one server holds; 0 when not stated.
     """
 
-    name: str
-    cold_opens_per_s: float = 0.0
-    max_connections: int = 0
+    __slots__ = ("cold_opens_per_s", "max_connections", "name")
+
+    def __init__(
+        self, name: str, *, cold_opens_per_s: float = 0.0, max_connections: int = 0
+    ) -> None:
+        self.name = name
+        self.cold_opens_per_s = cold_opens_per_s
+        self.max_connections = max_connections
 
 
-@dataclass(slots=True, frozen=True)
-class RouteTable:
+class RouteTable(Record):
     """One published version of routes and services.
 
     Attributes:
@@ -62,35 +78,67 @@
         idle_timeout_s: Seconds after which an idle flow may be forgotten.
     """
 
-    version: int
-    routes: dict[Endpoint, ServiceRoute] = field(default_factory=dict)
-    services: dict[str, ServiceLimits] = field(default_factory=dict)
-    idle_timeout_s: float = 60.0
+    __slots__ = ("idle_timeout_s", "routes", "services", "version")
+
+    def __init__(
+        self,
+        version: int,
+        routes: dict[Endpoint, ServiceRoute],
+        services: dict[str, ServiceLimits],
+        *,
+        idle_timeout_s: float = 60.0,
+    ) -> None:
+        self.version = version
+        self.routes = routes
+        self.services = services
+        self.idle_timeout_s = idle_timeout_s
 
 
-@dataclass(slots=True, frozen=True)
-class RegisteredServer:
+class RegisteredServer(Record):
     """One start of a backend server, as it registered itself.
 
     Attributes:
         id: Identifier of the server; a restart may use it again.
         started_ms: Unix milliseconds of this start; tells restarts apart.
         service: The service that it belongs to.
-        address: Where it receives packets.
+        address: Host and port at which it receives packets.
         zone: Its availability zone.
         slots: Requests that it works on at a time; at least 1.
         draining: Whether it gets no new flows.
         cold_ms: Milliseconds for which it was still cold when it registered.
     """
 
-    id: str
-    started_ms: int
-    service: str
-    address: Address
-    zone: str
-    slots: int
-    draining: bool = False
-    cold_ms: int = 0
+    __slots__ = (
+        "address",
+        "cold_ms",
+        "draining",
+        "id",
+        "service",
+        "slots",
+        "started_ms",
+        "zone",
+    )
+
+    def __init__(
+        self,
+        id: str,
+        started_ms: int,
+        service: str,
+        address: SocketAddress,
+        zone: str,
+        slots: int,
+        *,
+        draining: bool = False,
+        cold_ms: int = 0,
+    ) -> None:
+        self.id = id
+        self.started_ms = started_ms
+        self.service = service
+        self.address = address
+        self.zone = zone
+        self.slots = slots
+        self.draining = draining
+        self.cold_ms = cold_ms
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -10,9 +10,11 @@
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.source import (
+    Changes,
     HistoryLostError,
     RegistrySource,
     StoreBusyError,
+    UnreadableEntry,
 )
 
 # A watch is renewed after this time in seconds; until then a connection that went
@@ -53,8 +55,8 @@
         self._down = False
 
     async def run(self) -> None:
-        """Read until cancelled."""
-        complete = False
+        """Read until cancelled; a directory that was read before is followed."""
+        complete = self._directory.revision > 0
         while True:
             try:
                 if complete:
@@ -70,6 +72,7 @@
 
     async def _list(self) -> bool:
         changes = await self._source.list()
+        _log_unreadable(changes)
         if not self._directory.replace(changes):
             raise StoreBusyError(
                 f"the list has revision {changes.revision}, "
@@ -82,6 +85,7 @@
         changes = await self._source.watch(
             after=self._directory.revision, wait_s=WATCH_S
         )
+        _log_unreadable(changes)
         if self._directory.apply(changes) and changes.changes:
             self._on_change()
 
@@ -97,3 +101,11 @@
             log_event(logger, Event.PLATFORM_DOWN, error=exc)
         await sleep(self._backoff * self._rng.uniform(0.5, 1.0))
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
+
+
+def _log_unreadable(changes: Changes) -> None:
+    for change in changes.changes:
+        if isinstance(change, UnreadableEntry):
+            log_event(
+                logger, Event.ENTRY_UNREADABLE, key=change.key, reason=change.reason
+            )
--- a/src/magnoliaslip/registry/source.py
+++ b/src/magnoliaslip/registry/source.py
@@ -1,9 +1,9 @@
 """The read-only store that publishes routes, servers and zones out of service."""
 
 from abc import ABC, abstractmethod
-from dataclasses import dataclass
 
 from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.record import Record
 from magnoliaslip.registry.model import RegisteredServer, RouteTable
 
 
@@ -19,39 +19,71 @@
     code = "MS302"
 
 
-@dataclass(slots=True, frozen=True)
-class ServerChange:
+class ServerChange(Record):
     """A server registered, changed its registration or was removed.
 
     Attributes:
         id: Identifier of the server.
-        server: The registration; None when it was removed or is unreadable.
+        server: The registration; None when it was removed.
     """
 
-    id: str
-    server: RegisteredServer | None
+    __slots__ = ("id", "server")
 
+    def __init__(self, id: str, server: RegisteredServer | None) -> None:
+        self.id = id
+        self.server = server
 
-@dataclass(slots=True, frozen=True)
-class RoutesChange:
-    """A new version of the routes was published."""
 
-    table: RouteTable
+class RoutesChange(Record):
+    """A new version of the routes was published.
 
+    Attributes:
+        table: The new version.
+    """
+
+    __slots__ = ("table",)
+
+    def __init__(self, table: RouteTable) -> None:
+        self.table = table
 
-@dataclass(slots=True, frozen=True)
-class ZoneChange:
-    """An availability zone was taken out of service or back in."""
 
-    zone: str
-    out: bool
+class ZoneChange(Record):
+    """An availability zone was taken out of service or back in.
+
+    Attributes:
+        zone: The availability zone.
+        out: Whether it is out.
+    """
 
+    __slots__ = ("out", "zone")
+
+    def __init__(self, zone: str, *, out: bool) -> None:
+        self.zone = zone
+        self.out = out
+
+
+class UnreadableEntry(Record):
+    """An entry was published that can't be read.
+
+    Attributes:
+        key: Name of the entry.
+        reason: What is wrong with it.
+        server_id: Identifier when it stands in the place of a registration; the
+            server then counts as not registered.
+    """
 
-Change = ServerChange | RoutesChange | ZoneChange
+    __slots__ = ("key", "reason", "server_id")
 
+    def __init__(self, key: str, reason: str, *, server_id: str | None = None) -> None:
+        self.key = key
+        self.reason = reason
+        self.server_id = server_id
 
-@dataclass(slots=True, frozen=True)
-class Changes:
+
+Change = ServerChange | RoutesChange | ZoneChange | UnreadableEntry
+
+
+class Changes(Record):
     """Changes in the order of the store.
 
     Attributes:
@@ -59,8 +91,11 @@
         changes: All of them, oldest first.
     """
 
-    revision: int
-    changes: tuple[Change, ...]
+    __slots__ = ("changes", "revision")
+
+    def __init__(self, revision: int, changes: tuple[Change, ...]) -> None:
+        self.revision = revision
+        self.changes = changes
 
 
 class RegistrySource(ABC):
@@ -68,6 +103,16 @@
 
     __slots__ = ()
 
+    @abstractmethod
+    def list_blocking(self) -> Changes:
+        """Return everything that is published, as changes to an empty state.
+
+        Blocks the process; meant for its start, before an event loop runs.
+
+        Raises:
+            PlatformError: The store did not answer in time or refused.
+        """
+
     @abstractmethod
     async def list(self) -> Changes:
         """Return everything that is published, as changes to an empty state.
--- a/src/magnoliaslip/runtime/adapter.py
+++ b/src/magnoliaslip/runtime/adapter.py
@@ -3,7 +3,7 @@
 from abc import ABC, abstractmethod
 from socket import socket as Socket  # noqa: N812
 
-from magnoliaslip.core.address import Address
+from magnoliaslip.registry.model import SocketAddress
 from magnoliaslip.registry.source import RegistrySource
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import TaggedPacket
@@ -19,7 +19,7 @@
     readiness_path: str
 
     @abstractmethod
-    def source(self, store: Address) -> RegistrySource:
+    def source(self, store: SocketAddress) -> RegistrySource:
         """Return a reader of the platform's store."""
 
     @abstractmethod
--- /dev/null
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -0,0 +1,63 @@
+"""The packet path of an instance: socket, decoder and router."""
+
+from collections import Counter
+from collections.abc import Callable
+from socket import socket as Socket  # noqa: N812
+
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import PacketError
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.steering.link import TaggedLink
+from magnoliaslip.steering.packet import TaggedPacket
+from magnoliaslip.steering.router import TagRouter
+
+
+class Forwarder:
+    """Forwards callers' packets; needs no event loop.
+
+    Args:
+        zone: Availability zone of this instance.
+        sock: Socket that receives packets.
+        link: Sends packets.
+        decode: Decodes a datagram, raises `PacketError` when it is no packet.
+        clock: Source of time.
+
+    Attributes:
+        counters: Counts of packets by outcome.
+        directory: Routes, servers and zones as published.
+    """
+
+    __slots__ = ("_clock", "_decode", "counters", "directory", "router", "sock")
+
+    def __init__(
+        self,
+        zone: str,
+        *,
+        sock: Socket,
+        link: TaggedLink,
+        decode: Callable[[bytes], TaggedPacket],
+        clock: Clock,
+    ) -> None:
+        self._clock = clock
+        self._decode = decode
+        self.sock = sock
+        self.counters: Counter[str] = Counter()
+        self.directory = Directory()
+        self.router = TagRouter(
+            zone, directory=self.directory, link=link, counters=self.counters
+        )
+
+    def handle_batch(self, datagrams: list[bytes]) -> None:
+        """Handle datagrams of callers."""
+        now = self._clock.monotonic()
+        for datagram in datagrams:
+            try:
+                packet = self._decode(datagram)
+            except PacketError:
+                self.counters["drop_malformed"] += 1
+                continue
+            self.router.handle(packet, now)
+
+    def apply_directory(self) -> None:
+        """Take over what changed in the directory."""
+        self.router.apply_directory(self._clock.monotonic())
--- a/src/magnoliaslip/steering/choice.py
+++ b/src/magnoliaslip/steering/choice.py
@@ -1,7 +1,8 @@
 """The choice of a backend server for a new flow."""
 
 from collections.abc import Collection
-from random import Random
+
+from xxhash import xxh32_intdigest
 
 from magnoliaslip.steering.servers import KnownServer
 
@@ -17,18 +18,17 @@
 
     Args:
         zone: Availability zone of this instance.
-        rng: Breaks ties, so that instances do not choose alike.
     """
 
-    __slots__ = ("_rng", "_zone")
+    __slots__ = ("_zone",)
 
-    def __init__(self, zone: str, *, rng: Random) -> None:
+    def __init__(self, zone: str) -> None:
         self._zone = zone
-        self._rng = rng
 
     def choose(
         self,
         candidates: Collection[KnownServer],
+        flow: bytes,
         now: float,
         *,
         tried: Collection[KnownServer] = (),
@@ -40,6 +40,7 @@
 
         Args:
             candidates: Servers that may get new flows.
+            flow: The flow; servers with about the same load are ranked by its hash.
             now: Monotonic time in seconds.
             tried: Servers that did not answer this flow.
         """
@@ -55,15 +56,17 @@
             or list(candidates)
         )
         warm = [known for known in usable if known.cold_until <= now]
-        return self._least_loaded(warm or usable, now)
+        return self._least_loaded(warm or usable, flow, now)
 
-    def _least_loaded(self, usable: list[KnownServer], now: float) -> KnownServer:
+    def _least_loaded(
+        self, usable: list[KnownServer], flow: bytes, now: float
+    ) -> KnownServer:
         loads = {known.tag: known.load(now) for known in usable}
         mean = sum(loads.values()) / len(loads)
         jitter = mean * LOAD_JITTER + 1e-9
 
         def order(known: KnownServer) -> float:
-            return loads[known.tag] + self._rng.random() * jitter
+            return loads[known.tag] + _rank(flow, known.tag) * jitter
 
         near = [known for known in usable if known.server.zone == self._zone]
         if near:
@@ -71,3 +74,8 @@
             if loads[best.tag] <= LOAD_BOUND * mean + jitter:
                 return best
         return min(usable, key=order)
+
+
+def _rank(flow: bytes, tag: int) -> float:
+    """Return a number from 0 to 1 that differs between flows and servers."""
+    return xxh32_intdigest(flow, seed=tag) / 2**32
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,7 +1,6 @@
 """Decides where each tagged packet goes."""
 
 from collections import Counter
-from random import Random
 
 from xxhash import xxh32_intdigest
 
@@ -30,7 +29,6 @@
         zone: Availability zone of this instance.
         directory: Routes, servers and zones as published.
         link: Sends packets.
-        rng: Breaks ties between servers.
         counters: Receives counts of packets by outcome.
     """
 
@@ -42,12 +40,11 @@
         *,
         directory: Directory,
         link: TaggedLink,
-        rng: Random,
         counters: Counter[str],
     ) -> None:
         self._directory = directory
         self._link = link
-        self._choice = ServerChoice(zone, rng=rng)
+        self._choice = ServerChoice(zone)
         self.counters = counters
         self.flows = FlowNotes()
         self.servers = ServerSet(keep_s=MAX_FLOW_S)
@@ -100,7 +97,7 @@
             note.tried += (note.server,)
         service = _service(route, packet.flow)
         known = self._choice.choose(
-            self.servers.candidates(service), now, tried=note.tried
+            self.servers.candidates(service), packet.flow, now, tried=note.tried
         )
         note.copy = packet.copy
         note.seen_at = now
@@ -121,7 +118,7 @@
         if known is None:
             self.counters["drop_unknown_tag"] += 1
             return
-        if not _serves(route, known.server.service):
+        if not route.serves(known.server.service):
             self.counters["drop_foreign_tag"] += 1
             return
         if note is None:
@@ -171,7 +168,3 @@
         if point < 0:
             return target.service
     return targets[-1].service
-
-
-def _serves(route: ServiceRoute, service: str) -> bool:
-    return any(target.service == service for target in route.targets)
--- a/tests/config/test_http_platform.py
+++ b/tests/config/test_http_platform.py
@@ -150,6 +150,6 @@
 
 def test_reset_connection_is_a_platform_error():
     # Guards against a reader that ends its process when the platform resets.
-    source, _ = platform([Resetting(b"")])
-    with pytest.raises(PlatformError):
+    source, _ = platform({1: Resetting(b"")})
+    with pytest.raises(PlatformError, match="request of"):
         anyio.run(source.read, "index")
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -7,15 +7,19 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from fleet_adapter.entries import Item, decode_item
-from magnoliaslip.core.address import Address
+from fleet_adapter.entries import decode_item
 from magnoliaslip.registry.model import (
     RegisteredServer,
     ServiceLimits,
     ServiceRoute,
     WeightedService,
 )
-from magnoliaslip.registry.source import RoutesChange, ServerChange, ZoneChange
+from magnoliaslip.registry.source import (
+    RoutesChange,
+    ServerChange,
+    UnreadableEntry,
+    ZoneChange,
+)
 
 ENTRY = {
     "service": "desk",
@@ -54,7 +58,11 @@
 
 def item(key, value):
     data = value if isinstance(value, bytes) else dumps(value).encode()
-    return Item(key, b64encode(data).decode())
+    return {"key": key, "value": b64encode(data).decode(), "revision": 4}
+
+
+def removal(key):
+    return {"key": key, "revision": 5, "removed": True}
 
 
 def test_decodes_a_registration():
@@ -64,7 +72,7 @@
             "i-0a",
             1700000000000,
             "desk",
-            Address("10.128.0.9", 8080),
+            ("10.128.0.9", 8080),
             "a",
             4,
             draining=False,
@@ -78,7 +86,9 @@
     assert isinstance(change, RoutesChange)
     assert change.table.version == 7
     assert change.table.idle_timeout_s == 15
-    assert change.table.services == {"d": ServiceLimits("d", 12.5, 2000)}
+    assert change.table.services == {
+        "d": ServiceLimits("d", cold_opens_per_s=12.5, max_connections=2000)
+    }
     assert list(change.table.routes.values()) == [
         ServiceRoute((0xC6120001, 8080), (WeightedService("d", 1.0),), idempotent=True),
         ServiceRoute(
@@ -89,13 +99,11 @@
 
 def test_decodes_a_zone_out_and_back():
     assert decode_item(item("op/evacuate/a", {})) == ZoneChange("a", out=True)
-    removed = Item("op/evacuate/a", removed=True)
-    assert decode_item(removed) == ZoneChange("a", out=False)
+    assert decode_item(removal("op/evacuate/a")) == ZoneChange("a", out=False)
 
 
 def test_removal_of_a_registration():
-    removed = Item("servers/i-0a", removed=True)
-    assert decode_item(removed) == ServerChange("i-0a", None)
+    assert decode_item(removal("servers/i-0a")) == ServerChange("i-0a", None)
 
 
 @pytest.mark.parametrize(
@@ -109,24 +117,29 @@
     ],
 )
 def test_unreadable_registration_names_no_server(fault):
-    assert decode_item(item("servers/i-0a", ENTRY | fault)) == ServerChange(
-        "i-0a", None
-    )
+    change = decode_item(item("servers/i-0a", ENTRY | fault))
+    assert isinstance(change, UnreadableEntry)
+    assert change.server_id == "i-0a"
 
 
 @pytest.mark.parametrize("missing", ["service", "address", "zone", "state"])
 def test_registration_with_a_missing_field_names_no_server(missing):
     entry = {key: value for key, value in ENTRY.items() if key != missing}
-    assert decode_item(item("servers/i-0a", entry)) == ServerChange("i-0a", None)
+    change = decode_item(item("servers/i-0a", entry))
+    assert isinstance(change, UnreadableEntry)
+    assert change.reason == f"field {missing!r} is missing"
 
 
 def test_identifier_without_hex_digits_names_no_server():
-    assert decode_item(item("servers/nobody", ENTRY)) == ServerChange("nobody", None)
+    change = decode_item(item("servers/nobody", ENTRY))
+    assert isinstance(change, UnreadableEntry)
 
 
 def test_unreadable_routes_leave_those_in_force():
-    assert decode_item(item("op/config", b"\xff{")) is None
-    assert decode_item(item("op/config", CONFIG | {"version": "7"})) is None
+    for fault in (b"\xff{", b"[]", b"[" * 100_000, CONFIG | {"version": "7"}):
+        change = decode_item(item("op/config", fault))
+        assert isinstance(change, UnreadableEntry)
+        assert change.server_id is None
 
 
 @given(
@@ -136,4 +149,4 @@
 )
 def test_any_item_is_decoded_or_ignored(key, value, removed):
     text = value if isinstance(value, str) else b64encode(value).decode()
-    decode_item(Item(key, text, removed))
+    decode_item({"key": key, "value": text, "removed": removed})
--- a/tests/platform/test_packets.py
+++ b/tests/platform/test_packets.py
@@ -11,7 +11,6 @@
     encode_reset,
     intended_server,
 )
-from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import PacketError
 from magnoliaslip.registry.model import RegisteredServer
 from magnoliaslip.steering.packet import PacketKind
@@ -40,7 +39,7 @@
         self.sent.append((data, address))
 
 
-SERVER = RegisteredServer("i-7f3a91c2", 5, "desk", Address("10.2.0.9", 80), "a", 4)
+SERVER = RegisteredServer("i-7f3a91c2", 5, "desk", ("10.2.0.9", 80), "a", 4)
 
 
 def test_decodes_the_fields_of_an_opening_packet():
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -25,6 +25,9 @@
         self.results = list(results)
         self.calls = []
 
+    def list_blocking(self):
+        raise AssertionError("an event loop runs")
+
     async def list(self):
         return await self._next("list")
 
--- a/tests/steering/rig.py
+++ b/tests/steering/rig.py
@@ -1,9 +1,7 @@
 """A router with a link that collects what it sends."""
 
 from collections import Counter
-from random import Random
 
-from magnoliaslip.core.address import Address
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import (
     RegisteredServer,
@@ -37,7 +35,7 @@
 
 
 def server(name, *, zone="a", service="desk", slots=4, **fields):
-    address = Address(f"10.0.0.{len(name) + ord(name[-1])}", 80)
+    address = (f"10.0.0.{ord(name[-1])}", 80)
     return RegisteredServer(
         name, fields.pop("started_ms", 1), service, address, zone, slots, **fields
     )
@@ -49,7 +47,9 @@
         version,
         {
             endpoint: ServiceRoute(
-                endpoint, (WeightedService(names[endpoint], 1.0),), endpoint == DESK
+                endpoint,
+                (WeightedService(names[endpoint], 1.0),),
+                idempotent=endpoint == DESK,
             )
             for endpoint in endpoints
         },
@@ -69,7 +69,6 @@
             zone,
             directory=self.directory,
             link=self.link,
-            rng=Random(1),
             counters=self.counters,
         )
         self.publish(RoutesChange(table or routes()))
