Suspect a server whose opens stay unanswered for 80 ms

A server that does not listen yet resets every open at once, so it has the least load and attracts all opens; each instance saw only that the flows went away.

An open whose caller does not go on within 80 ms now counts against its server, unless another flow of the server made progress since.

--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -5,6 +5,10 @@
 SILENT_FLOWS = 2
 # A caller repeats an unanswered packet after this time, in seconds (protocol).
 REPEAT_S = 0.2
+# A server answers an opening packet at once; with the caller's next packet it takes
+# two round trips, at most about 40 ms between zones. Time in seconds after which an
+# open counts as unanswered: the caller was refused, or the path is cut.
+OPEN_ANSWER_S = 0.08
 # A suspect server is tried again with one new flow after this time in seconds: about
 # the time in which a caller gives up an unanswered open.
 TRIAL_S = 1.4
@@ -30,14 +34,20 @@
         self.suspect = False
         return ended
 
-    def note_silence(self, flow: bytes, now: float, *, opening: bool) -> bool:
-        """Note that a packet was repeated because no answer came.
+    def note_unanswered_open(self, sent_at: float, now: float) -> bool:
+        """Note that an open was not answered in time; one is enough.
 
         Args:
-            flow: The flow of the packet.
+            sent_at: Monotonic time in seconds at which it was sent.
             now: Monotonic time in seconds.
-            opening: Whether it opens its flow; servers answer those at once, so that
-                one is enough.
+
+        Returns:
+            Whether the server became suspect.
+        """
+        return self._progress_at < sent_at and self._suspect(now)
+
+    def note_repeat(self, flow: bytes, now: float) -> bool:
+        """Note that data was repeated because no answer came.
 
         Returns:
             Whether the server became suspect.
@@ -45,7 +55,10 @@
         if self._progress_at > now - REPEAT_S:
             return False
         self._silent.add(flow)
-        if self.suspect or (not opening and len(self._silent) < SILENT_FLOWS):
+        return len(self._silent) >= SILENT_FLOWS and self._suspect(now)
+
+    def _suspect(self, now: float) -> bool:
+        if self.suspect:
             return False
         self.suspect = True
         self._trial_at = now + TRIAL_S
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,6 +1,6 @@
 """Decides where each tagged packet goes."""
 
-from collections import Counter
+from collections import Counter, deque
 
 from xxhash import xxh32_intdigest
 
@@ -10,6 +10,7 @@
 from magnoliaslip.steering.flows import FlowNote, FlowNotes, is_after
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketKind, TaggedPacket
+from magnoliaslip.steering.reachability import OPEN_ANSWER_S
 from magnoliaslip.steering.servers import KnownServer, ServerSet
 
 # A flow may be forgotten when it is older than this, in seconds (protocol).
@@ -32,7 +33,15 @@
         counters: Receives counts of packets by outcome.
     """
 
-    __slots__ = ("_choice", "_directory", "_link", "counters", "flows", "servers")
+    __slots__ = (
+        "_choice",
+        "_directory",
+        "_link",
+        "_opens",
+        "counters",
+        "flows",
+        "servers",
+    )
 
     def __init__(
         self,
@@ -48,6 +57,8 @@
         self.counters = counters
         self.flows = FlowNotes()
         self.servers = ServerSet(keep_s=MAX_FLOW_S)
+        # Opens that may still be answered in time, oldest first.
+        self._opens: deque[tuple[float, bytes, KnownServer]] = deque()
 
     def apply_directory(self, now: float) -> None:
         """Take over what changed in the directory."""
@@ -67,6 +78,8 @@
             packet: A packet of a caller.
             now: Monotonic time in seconds.
         """
+        if self._opens and self._opens[0][0] < now - OPEN_ANSWER_S:
+            self._note_unanswered(now)
         table = self._directory.table
         if table is None:
             self.counters["drop_no_table"] += 1
@@ -93,7 +106,6 @@
             self._send(note.server, packet)
             return
         elif note.server is not None:
-            note.server.reach.note_silence(packet.flow, now, opening=True)
             note.tried += (note.server,)
         service = _service(route, packet.flow)
         known = self._choice.choose(
@@ -106,6 +118,7 @@
             self.counters["drop_no_server"] += 1
             return
         known.reach.note_placed(now)
+        self._opens.append((now, packet.flow, known))
         self._send(known, packet)
 
     def _forward(self, packet: TaggedPacket, route: ServiceRoute, now: float) -> None:
@@ -150,7 +163,17 @@
                 note.waiting_since = now
                 known.requests.add(now)
         else:
-            known.reach.note_silence(packet.flow, now, opening=False)
+            self.counters["repeated"] += 1
+            known.reach.note_repeat(packet.flow, now)
+
+    def _note_unanswered(self, now: float) -> None:
+        """Conclude from opens that were not answered in time."""
+        while self._opens and self._opens[0][0] < now - OPEN_ANSWER_S:
+            sent_at, flow, known = self._opens.popleft()
+            note = self.flows.get(flow)
+            if note is not None and not (note.established and note.server is known):
+                self.counters["unanswered_opens"] += 1
+                known.reach.note_unanswered_open(sent_at, now)
 
     def _send(self, known: KnownServer, packet: TaggedPacket) -> None:
         self.counters["forwarded"] += 1
