Tell other instances loads and suspicions by UDP digests

Cause: an instance compared its own zone's servers with servers that it sends little to itself, so the bound on loads sent two thirds of the flows to other zones, and each instance had to find an unreachable server alone.

Instances find each other through the seeds and exchange one datagram in half a second: requests per second of each server, suspicions, revision. A suspicion counts in the zone of its observer, and everywhere when the observer is in the server's own zone. gRPC streams were ruled out: grpclib and protobuf take longer to import than everything else together.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -37,6 +37,7 @@
     MEMBER_LOST = (501, WARNING, "a member is no longer heard")
     PEER_LINK_REPLACED = (502, WARNING, "a silent or broken stream was replaced")
     PEER_REJECTED = (503, WARNING, "a message from a non-member was dropped")
+    DIGEST_TOO_LARGE = (504, WARNING, "a digest does not fit a datagram; not sent")
     PLATFORM_DOWN = (600, WARNING, "the platform does not answer")
     PLATFORM_UP = (601, INFO, "the platform answers again")
     HISTORY_LOST = (602, WARNING, "the platform dropped changes; all is listed again")
--- /dev/null
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -0,0 +1,209 @@
+"""Sends digests to other instances and takes in theirs."""
+
+from collections.abc import Callable, Sequence
+from logging import getLogger
+from socket import socket as Socket  # noqa: N812
+
+from anyio import sleep
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.errors import PeerError
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.dataplane.udp import read_batches_from
+from magnoliaslip.gossip.digest import (
+    FORMAT,
+    MAX_DIGEST_BYTES,
+    Digest,
+    ServerDigest,
+    decode_digest,
+    encode_digest,
+)
+from magnoliaslip.gossip.peers import Peer, PeerTable
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.steering.servers import ServerSet
+
+# Time in seconds between two digests to an instance: loads change within a second.
+PERIOD_S = 0.5
+# Periods between two digests to an instance that is not heard.
+RETRY_PERIODS = 4
+# Hosts that a digest names at most.
+MAX_NAMED_PEERS = 16
+# Loads below this many requests per second are not worth their bytes.
+MIN_LOAD_PER_S = 0.2
+
+logger = getLogger(__name__)
+
+
+class GossipExchange:
+    """Digests to and from the other instances.
+
+    Args:
+        sock: Socket bound to the control address.
+        zone: Availability zone of this instance.
+        seeds: Control addresses to start from.
+        started_ms: Unix milliseconds of the start of this process.
+        directory: What this instance read.
+        servers: Servers that it observes; receives loads and suspicions of others.
+        clock: Source of time.
+        on_news: Called with an instance that has a newer directory.
+    """
+
+    __slots__ = (
+        "_clock",
+        "_directory",
+        "_leaving",
+        "_on_news",
+        "_period",
+        "_port",
+        "_seeds",
+        "_servers",
+        "_sock",
+        "_started_ms",
+        "_zone",
+        "peers",
+        "rejected",
+    )
+
+    def __init__(
+        self,
+        sock: Socket,
+        *,
+        zone: str,
+        seeds: Sequence[Address],
+        started_ms: int,
+        directory: Directory,
+        servers: ServerSet,
+        clock: Clock,
+        on_news: Callable[[Peer], None],
+    ) -> None:
+        host, self._port = sock.getsockname()[:2]
+        self._sock = sock
+        self._zone = zone
+        self._seeds = [seed.host for seed in seeds]
+        self._started_ms = started_ms
+        self._directory = directory
+        self._servers = servers
+        self._clock = clock
+        self._on_news = on_news
+        self._leaving = False
+        self._period = 0
+        self.peers = PeerTable(host)
+        self.rejected = 0
+
+    async def send_periodically(self) -> None:
+        """Send a digest to each instance in every period until cancelled."""
+        while True:
+            self.send_once()
+            await sleep(PERIOD_S)
+
+    def send_once(self) -> None:
+        """Send a digest to the instances whose turn it is."""
+        now = self._clock.monotonic()
+        for host in self._seeds:
+            self.peers.name(host, now)
+        self.peers.expire(now)
+        self._apply(now)
+        self._send([peer.host for peer in self.peers if self._is_due(peer, now)])
+        self._period += 1
+
+    async def receive(self) -> None:
+        """Take in digests until cancelled."""
+        await read_batches_from(self._sock, self.take)
+
+    def announce_leaving(self) -> None:
+        """Tell the others that this instance is about to stop."""
+        self._leaving = True
+        self._send([peer.host for peer in self.peers])
+
+    def announce(self) -> None:
+        """Send a digest to the live instances at once."""
+        now = self._clock.monotonic()
+        self._send([peer.host for peer in self.peers.live(now)])
+
+    def take(self, data: bytes, source: Address) -> None:
+        """Take in a datagram."""
+        try:
+            digest = decode_digest(data)
+        except PeerError as exc:
+            self.rejected += 1
+            log_event(logger, Event.PEER_REJECTED, source=source, reason=exc.message)
+            return
+        now = self._clock.monotonic()
+        before = self.peers.hear(source.host, digest, now)
+        unknown = [host for host in digest.peers if self.peers.name(host, now)]
+        if before is None:
+            log_event(logger, Event.MEMBER_LIVE, member=source.host, zone=digest.zone)
+            unknown.append(source.host)
+        if unknown:
+            self._send(unknown)
+        if before is None or _suspects(before) != _suspects(digest):
+            self._apply(now)
+        if digest.revision > self._directory.revision:
+            peer = next(peer for peer in self.peers if peer.host == source.host)
+            self._on_news(peer)
+
+    def digest(self, now: float) -> Digest:
+        """Return the state of this instance."""
+        table = self._directory.table
+        return Digest(
+            FORMAT,
+            self._zone,
+            self._started_ms,
+            self._directory.revision,
+            table.version if table else 0,
+            self._leaving,
+            tuple(self._server_digests(now)),
+            tuple(peer.host for peer in self.peers.live(now)[:MAX_NAMED_PEERS]),
+        )
+
+    def _server_digests(self, now: float) -> list[ServerDigest]:
+        digests = []
+        for known in self._servers:
+            load = known.requests.per_s(now)
+            if known.registered and (load >= MIN_LOAD_PER_S or known.reach.suspect):
+                digests.append(
+                    ServerDigest(known.tag, round(load * 10), known.reach.suspect)
+                )
+        return digests
+
+    def _is_due(self, peer: Peer, now: float) -> bool:
+        return peer.is_live(now) or self._period % RETRY_PERIODS == 0
+
+    def _send(self, hosts: list[str]) -> None:
+        data = encode_digest(self.digest(self._clock.monotonic()))
+        if len(data) > MAX_DIGEST_BYTES:
+            log_event(logger, Event.DIGEST_TOO_LARGE, bytes=len(data))
+            return
+        for host in hosts:
+            try:
+                self._sock.sendto(data, (host, self._port))
+            except OSError:
+                continue  # lost like any datagram; the next period sends again
+
+    def _apply(self, now: float) -> None:
+        """Sum up the loads and suspicions of the live instances."""
+        loads: dict[int, float] = {}
+        suspects: set[int] = set()
+        for peer in self.peers.live(now):
+            assert peer.digest is not None
+            for line in peer.digest.servers:
+                loads[line.tag] = loads.get(line.tag, 0.0) + line.load / 10
+                if line.suspect and self._counts(peer.digest.zone, line.tag):
+                    suspects.add(line.tag)
+        for known in self._servers:
+            known.peer_load = loads.get(known.tag, 0.0)
+            known.peers_suspect = known.tag in suspects
+
+    def _counts(self, zone: str, tag: int) -> bool:
+        """Return whether a suspicion from a zone holds for this instance.
+
+        A path may be cut for one zone only, so it holds for instances of that zone;
+        an instance in the server's own zone shows that the server itself is gone.
+        """
+        known = self._servers.find(tag)
+        return zone == self._zone or (known is not None and known.server.zone == zone)
+
+
+def _suspects(digest: Digest) -> set[int]:
+    return {line.tag for line in digest.servers if line.suspect}
--- /dev/null
+++ b/src/magnoliaslip/gossip/peers.py
@@ -0,0 +1,94 @@
+"""The other instances, as far as this one heard of them."""
+
+from collections.abc import Iterator
+
+from magnoliaslip.gossip.digest import Digest
+
+# An instance that was not heard for this time in seconds no longer counts: three
+# periods and a half, so that two lost datagrams in a row do not matter.
+LIVE_S = 1.75
+# An instance that was not heard for this time in seconds is forgotten; until then it
+# is sent a digest now and then, so that both sides of a cut find each other again.
+FORGET_S = 60.0
+
+
+class Peer:
+    """One other instance.
+
+    Attributes:
+        host: Its address; all instances use the same port.
+        digest: The last one that it sent; None when it is only known by name.
+        heard_at: Monotonic time in seconds of that digest.
+        named_at: Monotonic time in seconds at which it was last named.
+    """
+
+    __slots__ = ("digest", "heard_at", "host", "named_at")
+
+    def __init__(self, host: str, now: float) -> None:
+        self.host = host
+        self.digest: Digest | None = None
+        self.heard_at = float("-inf")
+        self.named_at = now
+
+    def is_live(self, now: float) -> bool:
+        """Return whether it was heard a short time ago and does not leave."""
+        return (
+            self.digest is not None
+            and now - self.heard_at < LIVE_S
+            and not self.digest.leaving
+        )
+
+
+class PeerTable:
+    """All known instances but this one.
+
+    Args:
+        own_host: Address of this instance.
+    """
+
+    __slots__ = ("_own_host", "_peers")
+
+    def __init__(self, own_host: str) -> None:
+        self._own_host = own_host
+        self._peers: dict[str, Peer] = {}
+
+    def name(self, host: str, now: float) -> bool:
+        """Note that an instance exists; returns whether it was unknown."""
+        if host == self._own_host:
+            return False
+        known = self._peers.get(host)
+        if known is not None:
+            return False
+        self._peers[host] = Peer(host, now)
+        return True
+
+    def hear(self, host: str, digest: Digest, now: float) -> Digest | None:
+        """Note a digest; returns the one before, None when it is a new start."""
+        self.name(host, now)
+        peer = self._peers.get(host)
+        if peer is None:
+            return None
+        before = peer.digest
+        if before is not None and before.started_ms > digest.started_ms:
+            return before  # a late datagram of an earlier process
+        peer.digest = digest
+        peer.heard_at = now
+        if before is None or before.started_ms != digest.started_ms:
+            return None
+        return before
+
+    def live(self, now: float) -> list[Peer]:
+        """Return the instances that were heard a short time ago."""
+        return [peer for peer in self._peers.values() if peer.is_live(now)]
+
+    def expire(self, now: float) -> None:
+        """Forget instances that were not heard for long."""
+        for host, peer in list(self._peers.items()):
+            if now - max(peer.heard_at, peer.named_at) > FORGET_S:
+                del self._peers[host]
+
+    def __iter__(self) -> Iterator[Peer]:
+        return iter(list(self._peers.values()))
+
+    def __len__(self) -> int:
+        return len(self._peers)
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -12,6 +12,9 @@
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.http_server import HttpAnswer, HttpRequest, serve_http
 from magnoliaslip.dataplane.udp import read_batches
+from magnoliaslip.dataplane.udp_socket import open_udp
+from magnoliaslip.gossip.exchange import GossipExchange
+from magnoliaslip.gossip.peers import Peer
 from magnoliaslip.registry.reader import RegistryReader
 from magnoliaslip.registry.source import RegistrySource
 from magnoliaslip.runtime.forwarder import Forwarder
@@ -69,6 +72,17 @@
             rng=self._rng,
         )
         async with AsyncExitStack() as stack:
+            control = stack.enter_context(open_udp(self._cfg.control))
+            self._gossip = GossipExchange(
+                control,
+                zone=self._cfg.zone,
+                seeds=self._cfg.seeds,
+                started_ms=int(self._clock.wall() * 1000),
+                directory=self._forwarder.directory,
+                servers=self._forwarder.router.servers,
+                clock=self._clock,
+                on_news=self._on_news,
+            )
             tasks = await stack.enter_async_context(create_task_group())
             tasks.start_soon(self._handle_signals)
             tasks.start_soon(
@@ -76,6 +90,8 @@
             )
             tasks.start_soon(reader.run)
             tasks.start_soon(serve_http, self._cfg.readiness, self._answer)
+            tasks.start_soon(self._gossip.receive)
+            tasks.start_soon(self._gossip.send_periodically)
             tasks.start_soon(self._tick)
             log_event(
                 logger,
@@ -87,10 +103,14 @@
             )
             self._log_directory()
             await self._stop.wait()
+            self._gossip.announce_leaving()
             await sleep(LINGER_S)
             log_event(logger, Event.INSTANCE_STOPPED, id=self._cfg.id)
             tasks.cancel_scope.cancel()
 
+    def _on_news(self, peer: Peer) -> None:
+        pass
+
     def _apply_directory(self) -> None:
         self._forwarder.apply_directory()
         self._log_directory()
--- a/src/magnoliaslip/steering/choice.py
+++ b/src/magnoliaslip/steering/choice.py
@@ -47,11 +47,7 @@
         if not candidates:
             return None
         usable = (
-            [
-                known
-                for known in candidates
-                if known.reach.admits(now) and known not in tried
-            ]
+            [known for known in candidates if known.admits(now) and known not in tried]
             or [known for known in candidates if known not in tried]
             or list(candidates)
         )
--- a/src/magnoliaslip/steering/flows.py
+++ b/src/magnoliaslip/steering/flows.py
@@ -27,6 +27,7 @@
         copy: Number of the last copy of the opening packet.
         established: Whether the caller answered the server's handshake.
         seq: Highest sequence number of data.
+        sent_at: Monotonic time in seconds at which that data was first sent.
         acked: Highest byte that the caller acknowledged.
         waiting_since: Monotonic time in seconds of the first data packet that got no
             answer; 0 when none waits.
@@ -38,6 +39,7 @@
         "copy",
         "established",
         "seen_at",
+        "sent_at",
         "seq",
         "server",
         "tried",
@@ -50,6 +52,7 @@
         self.copy = 0
         self.established = False
         self.seq: int | None = None
+        self.sent_at = 0.0
         self.acked = 0
         self.waiting_since = 0.0
         self.seen_at = now
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -64,6 +64,10 @@
         self._trial_at = now + TRIAL_S
         return True
 
+    def heard_since(self, moment: float) -> bool:
+        """Return whether a flow got an answer after a moment."""
+        return self._progress_at > moment
+
     def admits(self, now: float) -> bool:
         """Return whether a new flow may be placed on the server."""
         return not self.suspect or now >= self._trial_at
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -16,6 +16,10 @@
 # A flow may be forgotten when it is older than this, in seconds (protocol).
 MAX_FLOW_S = 60.0
 
+# Packets overtake each other within milliseconds; a packet that comes again after
+# this time in seconds is a repetition.
+MIN_REPEAT_S = 0.15
+
 OPEN = int(PacketKind.OPEN)
 RESET = int(PacketKind.RESET)
 
@@ -159,10 +163,11 @@
             return
         if note.seq is None or is_after(packet.seq, note.seq):
             note.seq = packet.seq
+            note.sent_at = now
             if not note.waiting_since:
                 note.waiting_since = now
                 known.requests.add(now)
-        else:
+        elif packet.seq == note.seq and now - note.sent_at >= MIN_REPEAT_S:
             self.counters["repeated"] += 1
             known.reach.note_repeat(packet.flow, now)
 
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -10,6 +10,9 @@
 
 # Time constant in seconds of the rate of requests; about one feed request a user.
 RATE_WINDOW_S = 1.0
+# An own answer within this time in seconds outweighs a suspicion of others: their
+# reports are about as old.
+PEER_REPORT_S = 0.5
 
 
 class RequestRate:
@@ -43,12 +46,14 @@
         reach: Evidence of its reachability.
         requests: Requests that this instance forwarded.
         peer_load: Requests per second that other instances forwarded.
+        peers_suspect: Whether other instances find it unreachable.
     """
 
     __slots__ = (
         "cold_until",
         "left_at",
         "peer_load",
+        "peers_suspect",
         "reach",
         "registered",
         "requests",
@@ -65,6 +70,13 @@
         self.reach = Reachability()
         self.requests = RequestRate()
         self.peer_load = 0.0
+        self.peers_suspect = False
+
+    def admits(self, now: float) -> bool:
+        """Return whether a new flow may be placed on it, by all evidence."""
+        if self.peers_suspect and not self.reach.heard_since(now - PEER_REPORT_S):
+            return False
+        return self.reach.admits(now)
 
     def load(self, now: float) -> float:
         """Return requests per second and slot over all instances."""
--- /dev/null
+++ b/tests/gossip/test_exchange.py
@@ -0,0 +1,181 @@
+"""Guards against loads and suspicions that are lost, doubled or taken too far."""
+
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.gossip.digest import (
+    FORMAT,
+    MAX_DIGEST_BYTES,
+    Digest,
+    ServerDigest,
+    decode_digest,
+    encode_digest,
+)
+from magnoliaslip.gossip.exchange import GossipExchange
+from magnoliaslip.gossip.peers import LIVE_S
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.source import Changes, ServerChange
+from magnoliaslip.steering.servers import ServerSet
+from tests.steering.rig import server
+
+PORT = 8166
+
+
+class Sock:
+    """A socket whose datagrams the test delivers."""
+
+    def __init__(self, host):
+        self.host = host
+        self.sent = []
+
+    def getsockname(self):
+        return self.host, PORT
+
+    def sendto(self, data, address):
+        assert len(data) <= MAX_DIGEST_BYTES
+        self.sent.append((data, address[0]))
+
+
+class Node:
+    """One instance with two servers in zones a and b."""
+
+    def __init__(self, host, zone, clock, seeds=("10.0.0.1",)):
+        self.sock = Sock(host)
+        self.clock = clock
+        self.directory = Directory()
+        self.directory.apply(
+            Changes(
+                1,
+                (
+                    ServerChange("i-1", server("i-1", zone="a")),
+                    ServerChange("i-2", server("i-2", zone="b")),
+                ),
+            )
+        )
+        self.servers = ServerSet(keep_s=60)
+        self.servers.apply(self.directory, clock.monotonic())
+        self.news = []
+        self.exchange = GossipExchange(
+            self.sock,
+            zone=zone,
+            seeds=[Address(seed, PORT) for seed in seeds],
+            started_ms=1,
+            directory=self.directory,
+            servers=self.servers,
+            clock=clock,
+            on_news=lambda peer: self.news.append(peer.host),
+        )
+
+    def known(self, name):
+        return next(k for k in self.servers if k.server.id == name)
+
+
+def deliver(nodes):
+    """Deliver all datagrams until none is left."""
+    by_host = {node.sock.host: node for node in nodes}
+    while any(node.sock.sent for node in nodes):
+        for node in nodes:
+            sent, node.sock.sent = node.sock.sent, []
+            for data, host in sent:
+                if host in by_host:
+                    by_host[host].exchange.take(data, Address(node.sock.host, PORT))
+
+
+def fleet(*zones):
+    clock = ManualClock(start=100.0)
+    nodes = [Node(f"10.0.0.{n}", zone, clock) for n, zone in enumerate(zones, 1)]
+    for node in nodes:
+        node.exchange.send_once()
+    deliver(nodes)
+    return clock, nodes
+
+
+def test_all_find_each_other_through_one_seed():
+    clock, nodes = fleet("a", "a", "b", "b")
+    for _ in range(2):
+        for node in nodes:
+            node.exchange.send_once()
+        deliver(nodes)
+    live = [len(node.exchange.peers.live(clock.monotonic())) for node in nodes]
+    assert live == [3, 3, 3, 3]
+
+
+def test_loads_of_others_are_summed_and_end_with_them():
+    clock, nodes = fleet("a", "a", "b")
+    now = clock.monotonic()
+    for node in nodes:
+        for _ in range(10):
+            node.known("i-1").requests.add(now)
+        node.exchange.send_once()
+    deliver(nodes)
+    for node in nodes:
+        node.exchange.send_once()
+    assert nodes[0].known("i-1").peer_load == 20.0
+    clock.advance(LIVE_S + 0.1)
+    nodes[0].exchange.send_once()
+    assert nodes[0].known("i-1").peer_load == 0.0
+
+
+def test_suspicion_counts_in_the_zone_of_the_observer_and_of_the_server():
+    clock, nodes = fleet("a", "a", "b")
+    now = clock.monotonic()
+    nodes[0].known("i-2").reach.note_unanswered_open(now, now)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    # The path from zone a may be cut; zone b, where the server is, does not believe it.
+    assert nodes[1].known("i-2").peers_suspect
+    assert not nodes[2].known("i-2").peers_suspect
+    nodes[0].known("i-1").reach.note_unanswered_open(now, now)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    # An instance in the server's own zone shows that the server itself is gone.
+    assert nodes[2].known("i-1").peers_suspect
+
+
+def test_suspicion_ends_with_an_answer():
+    clock, nodes = fleet("a", "a")
+    now = clock.monotonic()
+    reach = nodes[0].known("i-1").reach
+    reach.note_unanswered_open(now, now)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    assert not nodes[1].known("i-1").admits(now)
+    reach.note_progress(now)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    assert nodes[1].known("i-1").admits(now)
+
+
+def test_newer_directory_is_reported():
+    _, nodes = fleet("a", "a")
+    nodes[1].directory.apply(Changes(7, ()))
+    nodes[1].exchange.send_once()
+    deliver(nodes)
+    assert nodes[0].news == ["10.0.0.2"]
+    assert not nodes[1].news
+
+
+def test_digest_that_is_too_large_is_not_sent():
+    clock, nodes = fleet("a", "a")
+    for n in range(400):
+        name = f"i-{n:x}00"
+        nodes[0].directory.apply(Changes(2 + n, (ServerChange(name, server(name)),)))
+    nodes[0].servers.apply(nodes[0].directory, clock.monotonic())
+    for known in nodes[0].servers:
+        known.requests.add(clock.monotonic())
+    nodes[0].exchange.send_once()
+    assert not nodes[0].sock.sent
+
+
+@given(st.binary(max_size=200))
+def test_any_datagram_is_taken_or_counted(data):
+    node = Node("10.0.0.1", "a", ManualClock(start=1.0))
+    node.exchange.take(data, Address("10.0.0.9", PORT))
+    assert node.exchange.rejected + len(node.exchange.peers) >= 1
+
+
+def test_digest_survives_its_encoding():
+    digest = Digest(FORMAT, "a", 5, 6, 7, False, (ServerDigest(9, 15, True),), ("h",))
+    assert decode_digest(encode_digest(digest)) == digest
