Reset repeatable flows of unreachable servers, so that callers try again

Cause: when a zone is cut off, feeds that cross the cut wait until their deadline, although their requests may be repeated on another server.

A flow of an idempotent route is reset when data of three flows of its server stays unanswered, none made progress meanwhile, and the last repetition is under 1 s old. Instances of a zone add up what they see and tell it at once. Unanswered flows of a whole zone keep new flows away from it.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -16,11 +16,13 @@
         tag: Tag of the server.
         load: Requests per second that the instance forwarded to it, in tenths.
         suspect: Whether its packets stay unanswered.
+        silent: Flows with unanswered data, as far as the evidence is fresh.
     """
 
     tag: int
     load: int = 0
     suspect: bool = False
+    silent: int = 0
 
 
 class Digest(Struct, array_like=True, frozen=True):
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -25,6 +25,8 @@
 
 # Time in seconds between two digests to an instance: loads change within a second.
 PERIOD_S = 0.5
+# Least time in seconds between two digests that new evidence causes.
+ANNOUNCE_S = 0.1
 # Periods between two digests to an instance that is not heard.
 RETRY_PERIODS = 4
 # Hosts that a digest names at most.
@@ -50,6 +52,7 @@
     """
 
     __slots__ = (
+        "_announced_at",
         "_clock",
         "_directory",
         "_leaving",
@@ -87,6 +90,7 @@
         self._clock = clock
         self._on_news = on_news
         self._leaving = False
+        self._announced_at = float("-inf")
         self._period = 0
         self.peers = PeerTable(host)
         self.rejected = 0
@@ -117,9 +121,11 @@
         self._send([peer.host for peer in self.peers])
 
     def announce(self) -> None:
-        """Send a digest to the live instances at once."""
+        """Send a digest to the live instances soon: new evidence should not wait."""
         now = self._clock.monotonic()
-        self._send([peer.host for peer in self.peers.live(now)])
+        if now >= self._announced_at + ANNOUNCE_S:
+            self._announced_at = now
+            self._send([peer.host for peer in self.peers.live(now)])
 
     def take(self, data: bytes, source: Address) -> None:
         """Take in a datagram."""
@@ -137,7 +143,7 @@
             unknown.append(source.host)
         if unknown:
             self._send(unknown)
-        if before is None or _suspects(before) != _suspects(digest):
+        if before is None or _evidence(before) != _evidence(digest):
             self._apply(now)
         if digest.revision > self._directory.revision:
             peer = next(peer for peer in self.peers if peer.host == source.host)
@@ -163,7 +169,12 @@
             load = known.requests.per_s(now)
             if known.registered and (load >= MIN_LOAD_PER_S or known.reach.suspect):
                 digests.append(
-                    ServerDigest(known.tag, round(load * 10), known.reach.suspect)
+                    ServerDigest(
+                        known.tag,
+                        round(load * 10),
+                        known.reach.suspect,
+                        known.reach.silent_flows(now),
+                    )
                 )
         return digests
 
@@ -185,14 +196,22 @@
         """Sum up the loads and suspicions of the live instances."""
         loads: dict[int, float] = {}
         suspects: set[int] = set()
+        silent: dict[int, int] = {}
         for peer in self.peers.live(now):
             assert peer.digest is not None
             for line in peer.digest.servers:
                 loads[line.tag] = loads.get(line.tag, 0.0) + line.load / 10
                 if line.suspect and self._counts(peer.digest.zone, line.tag):
                     suspects.add(line.tag)
+                    silent[line.tag] = silent.get(line.tag, 0) + line.silent
+        zones: dict[str, int] = {}
+        for known in self._servers:
+            zone = known.server.zone
+            zones[zone] = zones.get(zone, 0) + silent.get(known.tag, 0)
         for known in self._servers:
             known.peer_load = loads.get(known.tag, 0.0)
+            known.reach.peers_silent = silent.get(known.tag, 0)
+            known.zone_reach.peers_silent = zones[known.server.zone]
             known.peers_suspect = known.tag in suspects
 
     def _counts(self, zone: str, tag: int) -> bool:
@@ -205,5 +224,9 @@
         return zone == self._zone or (known is not None and known.server.zone == zone)
 
 
-def _suspects(digest: Digest) -> set[int]:
-    return {line.tag for line in digest.servers if line.suspect}
+def _evidence(digest: Digest) -> list[tuple[int, bool, int]]:
+    return [
+        (line.tag, line.suspect, line.silent)
+        for line in digest.servers
+        if line.suspect or line.silent
+    ]
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -83,6 +83,7 @@
                 clock=self._clock,
                 on_news=self._on_news,
             )
+            self._forwarder.router.on_evidence = self._gossip.announce
             tasks = await stack.enter_async_context(create_task_group())
             tasks.start_soon(self._handle_signals)
             tasks.start_soon(
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -3,6 +3,15 @@
 # Unanswered packets of this many flows, with no answer to any flow since, make a
 # server suspect; a single loss on one flow does not.
 SILENT_FLOWS = 2
+# A server counts as unreachable with this many silent flows over the instances whose
+# evidence counts; the loss of single packets does not add up to it.
+UNREACHABLE_FLOWS = 3
+# This many are enough when its whole availability zone seems to be cut off.
+UNREACHABLE_FLOWS_IN_CUT = 2
+# The last repetition must not be older than this time in seconds. Flows that are
+# reset give no evidence, so some packets go to the server again afterwards; the
+# platform tolerates a wrong belief for 4 s after a path came back.
+EVIDENCE_S = 1.0
 # A caller repeats an unanswered packet after this time, in seconds (protocol).
 REPEAT_S = 0.2
 # A server answers an opening packet at once; with the caller's next packet it takes
@@ -15,36 +24,57 @@
 
 
 class Reachability:
-    """What the flows of one server tell about the path to it and back."""
+    """What flows tell about the path to a server, or to all servers of a zone.
 
-    __slots__ = ("_progress_at", "_silent", "_trial_at", "suspect")
+    Attributes:
+        suspect: Whether new flows avoid it.
+        peers_silent: Flows without an answer that other instances see.
+    """
+
+    __slots__ = (
+        "_progress_at",
+        "_repeat_at",
+        "_silent",
+        "_trial_at",
+        "_unanswered",
+        "peers_silent",
+        "suspect",
+    )
 
     def __init__(self) -> None:
         self._progress_at = float("-inf")
         self._silent: set[bytes] = set()
+        self._unanswered: set[bytes] = set()
+        self._repeat_at = float("-inf")
         self._trial_at = 0.0
         self.suspect = False
+        self.peers_silent = 0
 
     def note_progress(self, now: float) -> bool:
         """Note that a flow got an answer; returns whether the server was suspect."""
         self._progress_at = now
-        if self._silent:
-            self._silent.clear()
+        self._silent.clear()
+        self._unanswered.clear()
         ended = self.suspect
         self.suspect = False
         return ended
 
-    def note_unanswered_open(self, sent_at: float, now: float) -> bool:
+    def note_unanswered_open(self, flow: bytes, sent_at: float, now: float) -> bool:
         """Note that an open was not answered in time; one is enough.
 
         Args:
+            flow: The flow that it opens.
             sent_at: Monotonic time in seconds at which it was sent.
             now: Monotonic time in seconds.
 
         Returns:
             Whether the server became suspect.
         """
-        return self._progress_at < sent_at and self._suspect(now)
+        if self._progress_at >= sent_at:
+            return False
+        self._unanswered.add(flow)
+        self._repeat_at = now
+        return self._suspect(now)
 
     def note_repeat(self, flow: bytes, now: float) -> bool:
         """Note that data was repeated because no answer came.
@@ -55,8 +85,33 @@
         if self._progress_at > now - REPEAT_S:
             return False
         self._silent.add(flow)
+        self._repeat_at = now
         return len(self._silent) >= SILENT_FLOWS and self._suspect(now)
 
+    def silent_flows(self, now: float) -> int:
+        """Return flows with unanswered data, as far as the evidence is fresh.
+
+        Unanswered opens are left out: a server that is full does not answer them,
+        while its flows go on.
+        """
+        return len(self._silent) if now - self._repeat_at < EVIDENCE_S else 0
+
+    def is_unreachable(self, now: float, *, flows: int = UNREACHABLE_FLOWS) -> bool:
+        """Return whether so many flows, one of them here, have unanswered data."""
+        own = self.silent_flows(now)
+        return own > 0 and own + self.peers_silent >= flows
+
+    def is_cut(self, now: float) -> bool:
+        """Return whether new flows should avoid all of an availability zone.
+
+        Also true when only some of its servers are gone and the others were not
+        heard meanwhile, so that it is no reason to give up flows.
+        """
+        if now - self._repeat_at >= EVIDENCE_S:
+            return False
+        own = len(self._silent) + len(self._unanswered)
+        return own > 0 and own + self.peers_silent >= UNREACHABLE_FLOWS
+
     def _suspect(self, now: float) -> bool:
         if self.suspect:
             return False
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,6 +1,7 @@
 """Decides where each tagged packet goes."""
 
 from collections import Counter, deque
+from collections.abc import Callable
 
 from xxhash import xxh32_intdigest
 
@@ -35,6 +36,9 @@
         directory: Routes, servers and zones as published.
         link: Sends packets.
         counters: Receives counts of packets by outcome.
+
+    Attributes:
+        on_evidence: Called when a packet stayed unanswered.
     """
 
     __slots__ = (
@@ -44,6 +48,7 @@
         "_opens",
         "counters",
         "flows",
+        "on_evidence",
         "servers",
     )
 
@@ -59,6 +64,7 @@
         self._link = link
         self._choice = ServerChoice(zone)
         self.counters = counters
+        self.on_evidence: Callable[[], None] | None = None
         self.flows = FlowNotes()
         self.servers = ServerSet(keep_s=MAX_FLOW_S)
         # Opens that may still be answered in time, oldest first.
@@ -108,7 +114,8 @@
             note = self.flows.get(flow)
             if note is not None and not (note.established and note.server is known):
                 self.counters["unanswered_opens"] += 1
-                known.reach.note_unanswered_open(sent_at, now)
+                known.note_unanswered_open(flow, sent_at, now)
+                self._tell_evidence()
 
     def _open(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
@@ -155,6 +162,12 @@
         if note is None:
             note = self.flows.create(packet.flow, now)
         self._observe(note, known, packet, now)
+        if packet.size and route.idempotent and known.is_unreachable(now):
+            # The caller repeats the request on a new flow at once.
+            self.counters["reset_unreachable"] += 1
+            self._link.send_reset(packet)
+            self.flows.forget(packet.flow)
+            return
         self._send(known, packet)
         if packet.kind & RESET:
             self.flows.forget(packet.flow)
@@ -165,14 +178,15 @@
         """Conclude from a caller's packet whether its server answers."""
         note.seen_at = now
         if not note.established:
+            if note.server is not None:
+                known.note_progress(now)  # it answered the opening packet
             note.established = True
             note.server = known
             note.acked = packet.acked
-            known.reach.note_progress(now)
         elif is_after(packet.acked, note.acked):
             note.acked = packet.acked
             note.waiting_since = 0.0
-            known.reach.note_progress(now)
+            known.note_progress(now)
         if not packet.size:
             return
         if note.seq is None or is_after(packet.seq, note.seq):
@@ -183,7 +197,12 @@
                 known.requests.add(now)
         elif packet.seq == note.seq and now - note.sent_at >= MIN_REPEAT_S:
             self.counters["repeated"] += 1
-            known.reach.note_repeat(packet.flow, now)
+            known.note_repeat(packet.flow, now)
+            self._tell_evidence()
+
+    def _tell_evidence(self) -> None:
+        if self.on_evidence is not None:
+            self.on_evidence()
 
     def _send(self, known: KnownServer, packet: TaggedPacket) -> None:
         self.counters["forwarded"] += 1
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -5,7 +5,7 @@
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import RegisteredServer
-from magnoliaslip.steering.reachability import Reachability
+from magnoliaslip.steering.reachability import UNREACHABLE_FLOWS_IN_CUT, Reachability
 from magnoliaslip.steering.tags import server_tag
 
 # Time constant in seconds of the rate of requests; about one feed request a user.
@@ -44,6 +44,7 @@
         left_at: Monotonic time in seconds at which it was removed.
         cold_until: Monotonic time in seconds at which it is warm.
         reach: Evidence of its reachability.
+        zone_reach: Evidence of the reachability of its whole availability zone.
         requests: Requests that this instance forwarded.
         peer_load: Requests per second that other instances forwarded.
         peers_suspect: Whether other instances find it unreachable.
@@ -59,15 +60,23 @@
         "requests",
         "server",
         "tag",
+        "zone_reach",
     )
 
-    def __init__(self, server: RegisteredServer, *, cold_until: float) -> None:
+    def __init__(
+        self,
+        server: RegisteredServer,
+        *,
+        cold_until: float,
+        zone_reach: Reachability,
+    ) -> None:
         self.server = server
         self.tag = server_tag(server)
         self.registered = True
         self.left_at = 0.0
         self.cold_until = cold_until
         self.reach = Reachability()
+        self.zone_reach = zone_reach
         self.requests = RequestRate()
         self.peer_load = 0.0
         self.peers_suspect = False
@@ -76,8 +85,31 @@
         """Return whether a new flow may be placed on it, by all evidence."""
         if self.peers_suspect and not self.reach.heard_since(now - PEER_REPORT_S):
             return False
+        if self.zone_reach.is_cut(now):
+            return False
         return self.reach.admits(now)
 
+    def note_progress(self, now: float) -> None:
+        """Note that a flow got an answer."""
+        self.reach.note_progress(now)
+        self.zone_reach.note_progress(now)
+
+    def note_repeat(self, flow: bytes, now: float) -> bool:
+        """Note that data was repeated; returns whether the server became suspect."""
+        self.zone_reach.note_repeat(flow, now)
+        return self.reach.note_repeat(flow, now)
+
+    def note_unanswered_open(self, flow: bytes, sent_at: float, now: float) -> bool:
+        """Note an unanswered open; returns whether the server became suspect."""
+        self.zone_reach.note_unanswered_open(flow, sent_at, now)
+        return self.reach.note_unanswered_open(flow, sent_at, now)
+
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether its flows can't go on, by fresh evidence of several flows."""
+        if self.zone_reach.is_cut(now):
+            return self.reach.is_unreachable(now, flows=UNREACHABLE_FLOWS_IN_CUT)
+        return self.reach.is_unreachable(now)
+
     def load(self, now: float) -> float:
         """Return requests per second and slot over all instances."""
         return (self.requests.per_s(now) + self.peer_load) / self.server.slots
@@ -93,13 +125,14 @@
         keep_s: Seconds for which a server that left is remembered.
     """
 
-    __slots__ = ("_by_incarnation", "_by_service", "_by_tag", "_keep_s")
+    __slots__ = ("_by_incarnation", "_by_service", "_by_tag", "_keep_s", "_zones")
 
     def __init__(self, *, keep_s: float) -> None:
         self._keep_s = keep_s
         self._by_incarnation: dict[tuple[str, int], KnownServer] = {}
         self._by_tag: dict[int, KnownServer] = {}
         self._by_service: dict[str, list[KnownServer]] = {}
+        self._zones: dict[str, Reachability] = {}
 
     def apply(self, directory: Directory, now: float) -> None:
         """Take over the registrations and zones of a directory."""
@@ -139,7 +172,8 @@
         known = self._by_incarnation.get(server.incarnation)
         cold_until = now + server.cold_ms / 1000
         if known is None:
-            known = KnownServer(server, cold_until=cold_until)
+            zone_reach = self._zones.setdefault(server.zone, Reachability())
+            known = KnownServer(server, cold_until=cold_until, zone_reach=zone_reach)
             self._by_incarnation[server.incarnation] = known
             # Of two servers with the same tag, the one that has it keeps it; the
             # other gets no flows.
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -121,13 +121,13 @@
 def test_suspicion_counts_in_the_zone_of_the_observer_and_of_the_server():
     clock, nodes = fleet("a", "a", "b")
     now = clock.monotonic()
-    nodes[0].known("i-2").reach.note_unanswered_open(now, now)
+    nodes[0].known("i-2").reach.note_unanswered_open(b"flow", now, now)
     nodes[0].exchange.send_once()
     deliver(nodes)
     # The path from zone a may be cut; zone b, where the server is, does not believe it.
     assert nodes[1].known("i-2").peers_suspect
     assert not nodes[2].known("i-2").peers_suspect
-    nodes[0].known("i-1").reach.note_unanswered_open(now, now)
+    nodes[0].known("i-1").reach.note_unanswered_open(b"flow", now, now)
     nodes[0].exchange.send_once()
     deliver(nodes)
     # An instance in the server's own zone shows that the server itself is gone.
@@ -138,7 +138,7 @@
     clock, nodes = fleet("a", "a")
     now = clock.monotonic()
     reach = nodes[0].known("i-1").reach
-    reach.note_unanswered_open(now, now)
+    reach.note_unanswered_open(b"flow", now, now)
     nodes[0].exchange.send_once()
     deliver(nodes)
     assert not nodes[1].known("i-1").admits(now)
--- /dev/null
+++ b/tests/steering/test_reachability.py
@@ -0,0 +1,176 @@
+"""Guards against wrong beliefs about servers, both ways."""
+
+from magnoliaslip.registry.source import ServerChange
+from magnoliaslip.steering.packet import PacketKind
+from magnoliaslip.steering.reachability import EVIDENCE_S, OPEN_ANSWER_S, TRIAL_S
+from tests.steering.rig import LAB, Rig, server
+
+
+def establish(rig, flow, name, **fields):
+    """Take the first packet after the handshake of a flow."""
+    rig.handle(flow=flow, tag=rig.tag(name), seq=1, acked=1, **fields)
+
+
+def request(rig, flow, name, **fields):
+    """Send one request on a flow."""
+    return rig.handle(flow=flow, tag=rig.tag(name), seq=100, acked=1, size=90, **fields)
+
+
+def drain(rig, seconds):
+    rig.now += seconds
+    rig.router.note_drained(rig.now)
+
+
+def test_server_that_resets_opens_does_not_attract_them():
+    # Refused opens leave a server without load; it must not look like the best one.
+    rig = Rig(server("i-1"), server("i-2"))
+    refusing = rig.open(flow=b"first")
+    drain(rig, OPEN_ANSWER_S + 0.01)
+    assert {rig.open(flow=bytes([n])) for n in range(10)} == {"i-1", "i-2"} - {refusing}
+
+
+def test_open_that_is_answered_in_time_is_no_evidence():
+    rig = Rig(server("i-1"), server("i-2"))
+    chosen = rig.open(flow=b"first")
+    rig.now += 0.02
+    establish(rig, b"first", chosen)
+    drain(rig, OPEN_ANSWER_S)
+    assert all(known.admits(rig.now) for known in rig.router.servers)
+
+
+def test_answer_that_waits_in_the_socket_after_a_pause_is_no_suspicion():
+    rig = Rig(server("i-1"), server("i-2"))
+    chosen = rig.open(flow=b"first")
+    rig.now += 0.5
+    rig.handle(flow=b"other", kind=PacketKind.OPEN)
+    establish(rig, b"first", chosen)
+    rig.router.note_drained(rig.now)
+    assert all(known.admits(rig.now) for known in rig.router.servers)
+
+
+def test_suspect_server_is_tried_again_with_one_flow():
+    rig = Rig(server("i-1"), server("i-2"))
+    refusing = rig.open(flow=b"first")
+    drain(rig, OPEN_ANSWER_S + 0.01)
+    rig.now += TRIAL_S
+    trials = [rig.open(flow=bytes([n])) for n in range(10)]
+    assert trials.count(refusing) == 1
+
+
+def test_pool_of_suspects_is_not_empty():
+    rig = Rig(server("i-1"), server("i-2"))
+    for n in range(2):
+        rig.open(flow=bytes([n]))
+        drain(rig, OPEN_ANSWER_S + 0.01)
+    assert rig.open(flow=b"next") is not None
+
+
+def silence(rig, name, flows, **fields):
+    """Let requests of some flows stay unanswered."""
+    for n in range(flows):
+        establish(rig, bytes([n]), name, **fields)
+        request(rig, bytes([n]), name, **fields)
+    rig.now += 0.2
+    for n in range(flows):
+        request(rig, bytes([n]), name, **fields)
+
+
+def test_flows_of_an_unreachable_server_are_reset_so_that_callers_try_again():
+    rig = Rig(server("i-1"), server("i-2"))
+    silence(rig, "i-1", 3)
+    assert len(rig.link.resets) == 1
+    establish(rig, b"idle", "i-1")
+
+
+def test_cut_zone_is_found_from_flows_of_several_servers():
+    rig = Rig(*(server(f"i-{n}", zone="b") for n in range(1, 4)), server("i-9"))
+    for n in range(1, 4):
+        establish(rig, bytes([n]), f"i-{n}")
+        request(rig, bytes([n]), f"i-{n}")
+    rig.now += 0.2
+    for n in range(1, 4):
+        request(rig, bytes([n]), f"i-{n}")
+    assert {rig.open(flow=bytes([99, n])) for n in range(9)} == {"i-9"}
+    # One silent flow of a server is no reason to give up flows: the other servers of
+    # the zone may be gone while this one lost a packet.
+    assert not rig.link.resets
+    establish(rig, b"second", "i-1")
+    request(rig, b"second", "i-1")
+    rig.now += 0.2
+    request(rig, b"second", "i-1")
+    assert len(rig.link.resets) == 1
+
+
+def test_flows_of_a_live_server_go_on_beside_gone_servers_of_its_zone():
+    rig = Rig(*(server(f"i-{n}", zone="b") for n in range(1, 4)), server("i-9"))
+    silence(rig, "i-1", 4)
+    count = len(rig.link.resets)
+    establish(rig, b"other", "i-2")
+    assert request(rig, b"other", "i-2") == ["i-2"]
+    assert len(rig.link.resets) == count
+
+
+def test_flows_of_a_server_that_is_full_are_not_reset():
+    # A server that holds all the flows it can does not answer opens.
+    rig = Rig(server("i-1"))
+    for n in range(5):
+        rig.open(flow=bytes([n]))
+    drain(rig, OPEN_ANSWER_S + 0.01)
+    establish(rig, b"old", "i-1")
+    assert request(rig, b"old", "i-1") == ["i-1"]
+    assert not rig.link.resets
+
+
+def test_two_lost_packets_reset_nothing():
+    rig = Rig(server("i-1"), server("i-2"))
+    silence(rig, "i-1", 2)
+    assert not rig.link.resets
+
+
+def test_flows_that_must_not_be_repeated_are_never_reset():
+    rig = Rig(server("i-1", service="lab"), server("i-2", service="lab"))
+    silence(rig, "i-1", 5, endpoint=LAB)
+    assert not rig.link.resets
+
+
+def test_server_that_answers_one_flow_is_not_unreachable():
+    rig = Rig(server("i-1"), server("i-2"))
+    for n in range(4):
+        establish(rig, bytes([n]), "i-1")
+        request(rig, bytes([n]), "i-1")
+    rig.now += 0.2
+    rig.handle(flow=bytes([3]), tag=rig.tag("i-1"), seq=190, acked=900)
+    for n in range(3):
+        request(rig, bytes([n]), "i-1")
+    assert not rig.link.resets
+
+
+def test_belief_ends_without_fresh_evidence():
+    # Resets stop the packets that could show that the path is back.
+    rig = Rig(server("i-1"), server("i-2"))
+    silence(rig, "i-1", 3)
+    rig.now += EVIDENCE_S + 0.01
+    establish(rig, b"late", "i-1")
+    assert request(rig, b"late", "i-1") == ["i-1"]
+
+
+def test_flow_that_is_first_seen_midway_is_no_answer_of_its_server():
+    # Most flows come to another instance when one joins or leaves.
+    rig = Rig(server("i-1"), server("i-2"))
+    silence(rig, "i-1", 3)
+    establish(rig, b"moved", "i-1")
+    assert request(rig, b"moved", "i-1") == []
+    assert len(rig.link.resets) == 2
+
+
+def test_server_that_left_the_store_and_is_silent_is_unreachable():
+    rig = Rig(server("i-1"), server("i-2"))
+    for n in range(3):
+        establish(rig, bytes([n]), "i-1")
+        request(rig, bytes([n]), "i-1")
+    tag = rig.tag("i-1")
+    rig.publish(ServerChange("i-1", None))
+    rig.now += 0.2
+    for n in range(3):
+        rig.handle(flow=bytes([n]), tag=tag, seq=100, acked=1, size=90)
+    assert len(rig.link.resets) == 1
