Write decisions as JSON lines and serve metrics

One line for each placement, reset, drop and changed belief, with what decided it. Lines are bounded (100 a second, the rest is counted and summed up each second) and written to a descriptor that does not block; lines that nobody reads are a metric. Metrics are rendered by prometheus-client, imported when the first collector asks. SIGHUP reads seeds and log level again.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -22,6 +22,9 @@
     INSTANCE_STOPPED = (102, INFO, "the instance has stopped")
     CLOCK_JUMPED = (103, WARNING, "the process was paused; its view is suspect")
     VIEW_CONFIRMED = (104, INFO, "the view was refreshed after it was suspect")
+    LOG_LIMITED = (105, WARNING, "lines were left out, counted by event")
+    SETTINGS_RELOADED = (106, INFO, "the settings file was read again")
+    SETTINGS_KEPT = (107, ERROR, "the changed settings are invalid; the old ones hold")
     CONFIG_IN_FORCE = (200, INFO, "a snapshot came into force")
     CONFIG_REJECTED = (201, ERROR, "a published set was rejected as a whole")
     CONFIG_STALE = (202, WARNING, "an older version was ignored")
@@ -32,6 +35,8 @@
     FLOW_REPLACED = (301, INFO, "a refused open was placed on another server")
     FLOW_REFUSED = (302, WARNING, "an open was refused; no server admits it")
     FLOW_GIVEN_UP = (303, WARNING, "a flow ended with its availability zone")
+    FLOW_RESET = (304, INFO, "a flow was reset by the system")
+    FLOW_DROPPED = (305, WARNING, "a packet of a flow had nowhere to go")
     PACKET_DROPPED = (400, WARNING, "packets were dropped, counted by kind")
     MEMBER_LIVE = (500, INFO, "a member became live")
     MEMBER_LOST = (501, WARNING, "a member is no longer heard")
@@ -47,6 +52,8 @@
     SERVER_REFUSING = (701, WARNING, "a backend server refused or ignored an open")
     SERVER_ACCEPTING = (702, INFO, "a backend server accepts opens again")
     FLOW_SILENT = (703, WARNING, "an established flow gets no answers")
+    SERVER_SUSPECT = (704, WARNING, "packets of a backend server stay unanswered")
+    SERVER_HEARD = (705, INFO, "a suspect backend server answers again")
     LAB_MESSAGE = (800, INFO, "a message of the lab's stand-ins")
 
     @property
@@ -74,5 +81,23 @@
         fields: Values in the order in which they appear in the line.
     """
     if logger.isEnabledFor(event.level):
-        text = " ".join(f"{key}={value}" for key, value in fields.items())
-        logger.log(event.level, "MS%03d %s %s", event.number, event.name, text)
+        logger.log(
+            event.level,
+            "MS%03d %s %s",
+            event.number,
+            event.name,
+            _FieldText(fields),
+            extra={"event": event, "fields": fields},
+        )
+
+
+class _FieldText:
+    """Fields as text, made only when a handler writes text."""
+
+    __slots__ = ("_fields",)
+
+    def __init__(self, fields: dict[str, Any]) -> None:
+        self._fields = fields
+
+    def __str__(self) -> str:
+        return " ".join(f"{key}={value}" for key, value in self._fields.items())
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -95,6 +95,10 @@
         self.peers = PeerTable(host)
         self.rejected = 0
 
+    def replace_seeds(self, seeds: Sequence[Address]) -> None:
+        """Take over seeds of changed settings; known instances stay known."""
+        self._seeds = [seed.host for seed in seeds]
+
     async def send_periodically(self) -> None:
         """Send a digest to each instance in every period until cancelled."""
         while True:
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -54,6 +54,11 @@
         self._backoff = FIRST_BACKOFF_S
         self._down = False
 
+    @property
+    def answers(self) -> bool:
+        """Whether the store answered the last call."""
+        return not self._down
+
     async def run(self) -> None:
         """Read until cancelled; a directory that was read before is followed."""
         complete = self._directory.revision > 0
--- a/src/magnoliaslip/runtime/adapter.py
+++ b/src/magnoliaslip/runtime/adapter.py
@@ -26,6 +26,10 @@
     def link(self, sock: Socket) -> TaggedLink:
         """Return a link that sends packets by a UDP socket."""
 
+    @abstractmethod
+    def flow_name(self, flow: bytes) -> str:
+        """Return the addresses of a flow as text, the caller's first."""
+
     @abstractmethod
     def decode(self, datagram: bytes) -> TaggedPacket:
         """Decode a packet of a caller.
--- /dev/null
+++ b/src/magnoliaslip/runtime/decision_log.py
@@ -0,0 +1,29 @@
+"""Decisions of the steering as log events."""
+
+from collections.abc import Callable
+from logging import getLogger
+from typing import Any
+
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.steering.decisions import DecisionLog
+
+logger = getLogger(__name__)
+
+
+class EventDecisionLog(DecisionLog):
+    """Writes each decision as one log event.
+
+    Args:
+        flow_name: Returns the addresses of a flow as text.
+    """
+
+    __slots__ = ("_flow_name",)
+
+    def __init__(self, flow_name: Callable[[bytes], str]) -> None:
+        self._flow_name = flow_name
+
+    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+        """Write one event."""
+        if flow:
+            inputs = {"flow": self._flow_name(flow), **inputs}
+        log_event(logger, Event[event], **inputs)
--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -8,6 +8,7 @@
 from magnoliaslip.core.errors import PacketError
 from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.steering.decisions import DecisionBuffer
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import TaggedPacket
 from magnoliaslip.steering.router import TagRouter
@@ -45,7 +46,11 @@
         self.counters: Counter[str] = Counter()
         self.directory = Directory()
         self.router = TagRouter(
-            zone, directory=self.directory, link=link, counters=self.counters
+            zone,
+            directory=self.directory,
+            link=link,
+            counters=self.counters,
+            log=DecisionBuffer(),
         )
 
     def handle_batch(self, datagrams: list[bytes]) -> None:
--- /dev/null
+++ b/src/magnoliaslip/runtime/metrics_page.py
@@ -0,0 +1,101 @@
+"""The metrics of an instance in the text format that collectors read.
+
+``prometheus_client`` is imported when the first collector asks, as most starts of an
+instance are over before.
+"""
+
+from collections.abc import Callable, Iterator
+from typing import Any
+
+from hdrh.histogram import HdrHistogram
+
+from magnoliaslip.core.metrics import Metrics
+
+PREFIX = "magnoliaslip_"
+# Upper bounds of the buckets in seconds: from a round trip to a caller's deadline.
+BUCKETS_S = (0.005, 0.01, 0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0)
+
+COUNTERS = {
+    "packets": "Packets of callers by outcome.",
+    "log_lines": "Log lines by outcome.",
+    "digests_rejected": "Datagrams of other instances that can't be read.",
+}
+GAUGES = {
+    "directory_revision": "Revision of the store that the directory has.",
+    "routes_version": "Version of the routes in force.",
+    "servers": "Registered backend servers.",
+    "suspect_servers": "Backend servers that new flows avoid.",
+    "live_instances": "Other instances that are heard.",
+    "flows": "Flows of which something is remembered.",
+    "ready": "Whether the instance is ready, 1 or 0.",
+    "store_answers": "Whether the store answers, 1 or 0.",
+}
+HISTOGRAMS = {
+    "open_seconds": "From an opening packet to the caller's answer to the handshake.",
+    "answer_seconds": "From a request to the caller's first sign of an answer.",
+}
+
+Reading = dict[str, float | dict[str, float]]
+
+
+class MetricsPage:
+    """Renders readings of an instance.
+
+    Args:
+        read: Returns values by name; counters with a label give a table by outcome.
+        metrics: Histograms in microseconds.
+    """
+
+    __slots__ = ("_metrics", "_read")
+
+    def __init__(self, read: Callable[[], Reading], metrics: Metrics) -> None:
+        self._read = read
+        self._metrics = metrics
+
+    def render(self) -> bytes:
+        """Return the page; imports the library on first use."""
+        from prometheus_client import CollectorRegistry, generate_latest
+
+        registry = CollectorRegistry(auto_describe=False)
+        registry.register(self)
+        return generate_latest(registry)
+
+    def collect(self) -> Iterator[Any]:
+        """Yield all families; called by the library."""
+        from prometheus_client.core import (
+            CounterMetricFamily,
+            GaugeMetricFamily,
+            HistogramMetricFamily,
+        )
+
+        reading = self._read()
+        for name, text in COUNTERS.items():
+            family = CounterMetricFamily(PREFIX + name, text, labels=["outcome"])
+            value = reading[name]
+            outcomes = value if isinstance(value, dict) else {"all": value}
+            for outcome, count in sorted(outcomes.items()):
+                family.add_metric([outcome], count)
+            yield family
+        for name, text in GAUGES.items():
+            yield GaugeMetricFamily(PREFIX + name, text, value=reading[name])
+        for name, text in HISTOGRAMS.items():
+            family = HistogramMetricFamily(PREFIX + name, text)
+            histogram = self._metrics.histograms.get(name)
+            family.add_metric([], *_buckets(histogram))
+            yield family
+
+
+def _buckets(histogram: HdrHistogram | None) -> tuple[list[tuple[str, float]], float]:
+    if histogram is None:
+        return [*((str(bound), 0.0) for bound in BUCKETS_S), ("+Inf", 0.0)], 0.0
+    total = histogram.get_total_count()
+    counts = dict.fromkeys(BUCKETS_S, 0)
+    total_s = 0.0
+    for item in histogram.get_recorded_iterator():
+        value_s = item.value_iterated_to / 1e6
+        total_s += value_s * item.count_at_value_iterated_to
+        for bound in BUCKETS_S:
+            if value_s <= bound:
+                counts[bound] += item.count_at_value_iterated_to
+    buckets = [(str(bound), float(count)) for bound, count in counts.items()]
+    return [*buckets, ("+Inf", float(total))], total_s
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -2,15 +2,21 @@
 
 from contextlib import AsyncExitStack
 from logging import getLogger
+from os import PathLike
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
 
 from anyio import Event as Signal
 from anyio import create_task_group, open_signal_receiver, sleep
+from anyio.to_thread import run_sync
 
+from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
+from magnoliaslip.core.errors import SettingsError
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.http_server import HttpAnswer, HttpRequest, serve_http
+from magnoliaslip.core.json_log import JsonLineHandler, LineBudget
+from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.dataplane.udp import read_batches
 from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.gossip.catch_up import SNAPSHOT_PATH, CatchUp
@@ -18,26 +24,33 @@
 from magnoliaslip.registry.reader import RegistryReader
 from magnoliaslip.registry.snapshot import encode_snapshot
 from magnoliaslip.registry.source import RegistrySource
+from magnoliaslip.runtime.adapter import PlatformAdapter
+from magnoliaslip.runtime.decision_log import EventDecisionLog
 from magnoliaslip.runtime.forwarder import Forwarder
+from magnoliaslip.runtime.metrics_page import MetricsPage, Reading
 from magnoliaslip.runtime.settings import SteeringSettings
+from magnoliaslip.steering.decisions import DecisionBuffer
 
-LOG_FORMAT = "%(asctime)s %(levelname)s %(name)s %(message)s"
 TICK_S = 1.0
 # After a stop was requested, the fabric needs two failed polls of 0.5 s to take the
 # instance out of rotation; packets are forwarded for this long, in seconds.
 LINGER_S = 1.5
+METRICS_PATH = "/metrics"
+STDOUT = 1
+MICROSECONDS = 1e6
 
 logger = getLogger(__name__)
 
 
 class SteeringInstance:
-    """Packet path, registry reader and readiness of one instance.
+    """Packet path, registry reader, gossip and pages of one instance.
 
     Args:
         cfg: Checked settings.
         forwarder: The packet path, which may have forwarded packets already.
+        adapter: Translates to and from the platform.
         source: The platform's store.
-        readiness_path: Path at which the fabric asks for readiness.
+        settings_path: File that is read again on SIGHUP.
         clock: Source of time.
         rng: Source of jitter.
     """
@@ -47,18 +60,28 @@
         cfg: SteeringSettings,
         forwarder: Forwarder,
         *,
+        adapter: PlatformAdapter,
         source: RegistrySource,
-        readiness_path: str,
+        settings_path: str | PathLike[str],
         clock: Clock | None = None,
         rng: Random | None = None,
     ) -> None:
         self._cfg = cfg
+        self._settings_path = settings_path
         self._forwarder = forwarder
-        self._source = source
-        self._readiness_path = readiness_path
+        self._adapter = adapter
         self._clock = clock or SystemClock()
-        self._rng = rng or Random()
         self._stop = Signal()
+        self._metrics = Metrics()
+        self._page = MetricsPage(self._read_metrics, self._metrics)
+        self._reader = RegistryReader(
+            source,
+            forwarder.directory,
+            on_change=self._apply_directory,
+            rng=rng or Random(),
+        )
+        self._lines = self._start_logging()
+        self._gossip: GossipExchange
 
     async def run(self) -> None:
         """Serve until a stop is requested, then until the fabric noticed.
@@ -66,23 +89,17 @@
         Raises:
             OSError: An address of the settings can't be bound.
         """
-        reader = RegistryReader(
-            self._source,
-            self._forwarder.directory,
-            on_change=self._apply_directory,
-            rng=self._rng,
-        )
+        cfg = self._cfg
         catch_up = CatchUp(
             self._forwarder.directory,
-            port=self._cfg.control.port,
+            port=cfg.control.port,
             on_change=self._apply_directory,
         )
         async with AsyncExitStack() as stack:
-            control = stack.enter_context(open_udp(self._cfg.control))
             self._gossip = GossipExchange(
-                control,
-                zone=self._cfg.zone,
-                seeds=self._cfg.seeds,
+                stack.enter_context(open_udp(cfg.control)),
+                zone=cfg.zone,
+                seeds=cfg.seeds,
                 started_ms=int(self._clock.wall() * 1000),
                 directory=self._forwarder.directory,
                 servers=self._forwarder.router.servers,
@@ -90,33 +107,56 @@
                 on_news=catch_up.note_news,
             )
             self._forwarder.router.on_evidence = self._gossip.announce
+            metrics = Address(cfg.control.host, cfg.metrics_port)
             tasks = await stack.enter_async_context(create_task_group())
             tasks.start_soon(self._handle_signals)
             tasks.start_soon(
                 read_batches, self._forwarder.sock, self._forwarder.handle_batch
             )
-            tasks.start_soon(reader.run)
-            tasks.start_soon(serve_http, self._cfg.readiness, self._answer)
+            tasks.start_soon(self._reader.run)
+            tasks.start_soon(serve_http, cfg.readiness, self._answer_readiness)
             tasks.start_soon(catch_up.run)
-            tasks.start_soon(serve_http, self._cfg.control, self._answer_peer)
+            tasks.start_soon(serve_http, cfg.control, self._answer_peer)
             tasks.start_soon(self._gossip.receive)
             tasks.start_soon(self._gossip.send_periodically)
+            tasks.start_soon(serve_http, metrics, self._answer_metrics)
             tasks.start_soon(self._tick)
             log_event(
                 logger,
                 Event.INSTANCE_STARTED,
-                id=self._cfg.id,
-                zone=self._cfg.zone,
-                data=self._cfg.packets,
-                control=self._cfg.control,
+                id=cfg.id,
+                zone=cfg.zone,
+                data=cfg.packets,
+                control=cfg.control,
             )
             self._log_directory()
             await self._stop.wait()
+            log_event(logger, Event.INSTANCE_STATE, id=cfg.id, state="leaving")
             self._gossip.announce_leaving()
             await sleep(LINGER_S)
-            log_event(logger, Event.INSTANCE_STOPPED, id=self._cfg.id)
+            self._lines.report_left_out()
+            log_event(logger, Event.INSTANCE_STOPPED, id=cfg.id)
             tasks.cancel_scope.cancel()
 
+    def _start_logging(self) -> JsonLineHandler:
+        """Write log lines to standard output, first those of the start."""
+        budget = LineBudget(self._cfg.log_lines_per_s, clock=self._clock)
+        handler = JsonLineHandler(STDOUT, budget=budget)
+        root = getLogger()
+        root.setLevel(self._cfg.log_level)
+        root.addHandler(handler)
+        router = self._forwarder.router
+        buffer, router.log = router.log, EventDecisionLog(self._adapter.flow_name)
+        if isinstance(buffer, DecisionBuffer):
+            buffer.move_to(router.log)
+            if buffer.lost:
+                log_event(logger, Event.LOG_LIMITED, left_out={"start": buffer.lost})
+        router.observe = self._observe
+        return handler
+
+    def _observe(self, name: str, seconds: float) -> None:
+        self._metrics.observe_us(name, seconds * MICROSECONDS)
+
     def _apply_directory(self) -> None:
         self._forwarder.apply_directory()
         self._log_directory()
@@ -129,14 +169,17 @@
             revision=directory.revision,
             routes_version=directory.table.version if directory.table else None,
             servers=len(directory.servers),
-            zones_out=",".join(sorted(directory.zones_out)) or "-",
+            zones_out=sorted(directory.zones_out),
         )
 
-    async def _answer(self, req: HttpRequest) -> HttpAnswer:
-        if req.path != self._readiness_path:
+    @property
+    def _ready(self) -> bool:
+        return self._forwarder.directory.ready and not self._stop.is_set()
+
+    async def _answer_readiness(self, req: HttpRequest) -> HttpAnswer:
+        if req.path != self._adapter.readiness_path:
             return HttpAnswer(404)
-        ready = self._forwarder.directory.ready and not self._stop.is_set()
-        return HttpAnswer(200 if ready else 503)
+        return HttpAnswer(200 if self._ready else 503)
 
     async def _answer_peer(self, req: HttpRequest) -> HttpAnswer:
         if req.path != SNAPSHOT_PATH:
@@ -145,17 +188,65 @@
             return HttpAnswer(503)
         return HttpAnswer(200, encode_snapshot(self._forwarder.directory))
 
+    async def _answer_metrics(self, req: HttpRequest) -> HttpAnswer:
+        if req.path != METRICS_PATH:
+            return HttpAnswer(404)
+        # In a thread, as the first page imports the library.
+        page = await run_sync(self._page.render)
+        return HttpAnswer(200, page, (("Content-Type", "text/plain; version=0.0.4"),))
+
+    def _read_metrics(self) -> Reading:
+        now = self._clock.monotonic()
+        directory = self._forwarder.directory
+        router = self._forwarder.router
+        return {
+            "packets": dict(self._forwarder.counters),
+            "log_lines": {"written": self._lines.written, "unread": self._lines.unread},
+            "digests_rejected": self._gossip.rejected,
+            "directory_revision": directory.revision,
+            "routes_version": directory.table.version if directory.table else 0,
+            "servers": len(directory.servers),
+            "suspect_servers": sum(not k.admits(now) for k in router.servers),
+            "live_instances": len(self._gossip.peers.live(now)),
+            "flows": len(router.flows),
+            "ready": int(self._ready),
+            "store_answers": int(self._reader.answers),
+        }
+
     async def _tick(self) -> None:
         while True:
             await sleep(TICK_S)
-            now = self._clock.monotonic()
-            self._forwarder.router.on_tick(now)
-            # The most instances that were ever heard: those that a cut hides go on.
-            count = 1 + len(self._gossip.peers)
-            self._forwarder.router.instances = count
+            router = self._forwarder.router
+            router.on_tick(self._clock.monotonic())
+            # All instances that were heard of: those that a cut hides go on.
+            router.instances = 1 + len(self._gossip.peers)
+            self._lines.report_left_out()
 
     async def _handle_signals(self) -> None:
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
             async for signal in signals:
-                if signal != SIGHUP:
+                if signal == SIGHUP:
+                    self._reload()
+                else:
                     self._stop.set()
+
+    def _reload(self) -> None:
+        """Take over seeds and logging from the settings file.
+
+        Addresses are those of the machine and stay until the process is restarted.
+        """
+        try:
+            cfg = SteeringSettings.load(self._settings_path)
+        except SettingsError as exc:
+            log_event(logger, Event.SETTINGS_KEPT, error=str(exc))
+            return
+        self._cfg.seeds = cfg.seeds
+        self._cfg.log_level = cfg.log_level
+        self._gossip.replace_seeds(cfg.seeds)
+        getLogger().setLevel(cfg.log_level)
+        log_event(
+            logger,
+            Event.SETTINGS_RELOADED,
+            seeds=[str(seed) for seed in cfg.seeds],
+            log_level=cfg.log_level,
+        )
--- a/src/magnoliaslip/runtime/settings.py
+++ b/src/magnoliaslip/runtime/settings.py
@@ -13,11 +13,14 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.record import Record
 
+MAX_LOG_LINES_PER_S = 10_000
+# About four times what an instance of today's deployments writes in a busy second.
+DEFAULT_LOG_LINES_PER_S = 100
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 DEFAULT_METRICS_PORT = 9464  # registered for exporters of metrics
 
 _REQUIRED = ("id", "zone", "packets", "readiness", "control", "store")
-_OPTIONAL = ("seeds", "metrics_port", "log_level")
+_OPTIONAL = ("seeds", "metrics_port", "log_level", "log_lines_per_s")
 
 
 class SteeringSettings(Record):
@@ -33,6 +36,7 @@
         seeds: Control addresses of some instances, to find the others.
         metrics_port: Port of the metrics, on the host of `control`.
         log_level: Least level of the log lines that are written.
+        log_lines_per_s: Lines per second that are written at most, over time.
     """
 
     __slots__ = (*_REQUIRED, *_OPTIONAL)
@@ -46,6 +50,7 @@
     seeds: tuple[Address, ...]
     metrics_port: int
     log_level: str
+    log_lines_per_s: int
 
     @classmethod
     def load(cls, path: str | PathLike[str]) -> Self:
@@ -72,7 +77,10 @@
         cfg.control = lines.address("control")
         cfg.store = lines.address("store")
         cfg.seeds = lines.addresses("seeds")
-        cfg.metrics_port = lines.port("metrics_port", DEFAULT_METRICS_PORT)
+        cfg.metrics_port = lines.number("metrics_port", 65535, DEFAULT_METRICS_PORT)
+        cfg.log_lines_per_s = lines.number(
+            "log_lines_per_s", MAX_LOG_LINES_PER_S, DEFAULT_LOG_LINES_PER_S
+        )
         cfg.log_level = lines.word("log_level", LOG_LEVELS, "INFO")
         return cfg
 
@@ -121,10 +129,12 @@
             self._address(f"{key}[{n}]", text) for n, text in enumerate(values)
         )
 
-    def port(self, key: str, default: int) -> int:
+    def number(self, key: str, most: int, default: int) -> int:
         value = self._take(key, int, "a number", default)
-        if isinstance(value, bool) or not 0 < value < 65536:
-            raise self._value_error(key, "is no port", "a number from 1 to 65535")
+        if isinstance(value, bool) or not 0 < value <= most:
+            raise self._value_error(
+                key, "is out of range", f"a number from 1 to {most}"
+            )
         return value
 
     def word(self, key: str, words: tuple[str, ...], default: str) -> str:
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -60,7 +60,7 @@
         source = adapter.source(cfg.store)
         _read_once(source, forwarder)
         _forward_during_imports(forwarder)
-        return _run_event_loop(cfg, adapter, source, forwarder)
+        return _run_event_loop(path, cfg, adapter, source, forwarder)
 
 
 def _read_once(source: RegistrySource, forwarder: Forwarder) -> None:
@@ -95,24 +95,22 @@
 
 
 def _run_event_loop(
+    path: str | PathLike[str],
     cfg: SteeringSettings,
     adapter: PlatformAdapter,
     source: RegistrySource,
     forwarder: Forwarder,
 ) -> int:
-    from logging import basicConfig
-    from sys import stdout
-
     from anyio import run
 
-    from magnoliaslip.runtime.process import LOG_FORMAT, SteeringInstance
+    from magnoliaslip.runtime.process import SteeringInstance
 
-    basicConfig(stream=stdout, level=cfg.log_level, format=LOG_FORMAT)
     instance = SteeringInstance(
         cfg,
         forwarder,
+        adapter=adapter,
         source=source,
-        readiness_path=adapter.readiness_path,
+        settings_path=path,
     )
     code = EXIT_STOPPED
     try:
--- /dev/null
+++ b/src/magnoliaslip/steering/decisions.py
@@ -0,0 +1,50 @@
+"""Where the steering of packets notes its decisions."""
+
+from abc import ABC, abstractmethod
+from collections import deque
+from typing import Any
+
+MAX_BUFFERED = 500  # decisions of the first half second of an instance
+
+
+class DecisionLog(ABC):
+    """Receives each decision that touches a flow or changes a belief."""
+
+    __slots__ = ()
+
+    @abstractmethod
+    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+        """Note one decision; never blocks.
+
+        Args:
+            event: Name of a log event.
+            flow: The flow that it touches; empty when it touches none.
+            inputs: What decided it and the outcome.
+        """
+
+
+class DecisionBuffer(DecisionLog):
+    """Keeps decisions until logging is available.
+
+    Attributes:
+        lost: Decisions that did not fit.
+    """
+
+    __slots__ = ("_notes", "lost")
+
+    def __init__(self) -> None:
+        self._notes: deque[tuple[str, bytes, dict[str, Any]]] = deque()
+        self.lost = 0
+
+    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+        """Keep one decision, or count it as lost."""
+        if len(self._notes) < MAX_BUFFERED:
+            self._notes.append((event, flow, inputs))
+        else:
+            self.lost += 1
+
+    def move_to(self, log: DecisionLog) -> None:
+        """Hand all kept decisions to a log."""
+        while self._notes:
+            event, flow, inputs = self._notes.popleft()
+            log.note(event, flow, **inputs)
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -2,12 +2,14 @@
 
 from collections import Counter, deque
 from collections.abc import Callable
+from typing import Any
 
 from xxhash import xxh32_intdigest
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import ServiceRoute
 from magnoliaslip.steering.choice import ServerChoice
+from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.flows import FlowNote, FlowNotes, is_after
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketKind, TaggedPacket
@@ -36,9 +38,11 @@
         directory: Routes, servers and zones as published.
         link: Sends packets.
         counters: Receives counts of packets by outcome.
+        log: Receives each decision.
 
     Attributes:
         instances: Instances that share the budgets of cold servers, this one included.
+        observe: Called with the name of a histogram and a time in seconds.
         on_evidence: Called when a packet stayed unanswered.
     """
 
@@ -50,6 +54,8 @@
         "counters",
         "flows",
         "instances",
+        "log",
+        "observe",
         "on_evidence",
         "servers",
     )
@@ -61,11 +67,14 @@
         directory: Directory,
         link: TaggedLink,
         counters: Counter[str],
+        log: DecisionLog,
     ) -> None:
         self._directory = directory
         self._link = link
         self._choice = ServerChoice(zone)
         self.counters = counters
+        self.log = log
+        self.observe: Callable[[str, float], None] | None = None
         self.on_evidence: Callable[[], None] | None = None
         self.instances = 1
         self.flows = FlowNotes()
@@ -93,13 +102,13 @@
         """
         table = self._directory.table
         if table is None:
-            self.counters["drop_no_table"] += 1
+            self._drop(packet, "no_table")
             return
         route = table.routes.get(packet.endpoint)
         if packet.kind & OPEN:
             self._open(packet, route, now)
         elif route is None:
-            self.counters["drop_no_route"] += 1
+            self._drop(packet, "no_route", routes_version=table.version)
         else:
             self._forward(packet, route, now)
 
@@ -117,15 +126,15 @@
             note = self.flows.get(flow)
             if note is not None and not (note.established and note.server is known):
                 self.counters["unanswered_opens"] += 1
-                known.note_unanswered_open(flow, sent_at, now)
+                if known.note_unanswered_open(flow, sent_at, now):
+                    self._log_suspect(known, flow, "unanswered open")
                 self._tell_evidence()
 
     def _open(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
     ) -> None:
         if route is None:
-            self.counters["reset_no_route"] += 1
-            self._link.send_reset(packet)
+            self._reset(packet, "no_route")
             return
         note = self.flows.get(packet.flow)
         if note is None or note.established or packet.copy < note.copy:
@@ -147,8 +156,21 @@
         note.seen_at = now
         note.server = known
         if known is None:
-            self.counters["drop_no_server"] += 1
+            self._drop(packet, "no_server", service=service)
             return
+        self.log.note(
+            "FLOW_PLACED",
+            packet.flow,
+            service=service,
+            server=known.server.id,
+            server_zone=known.server.zone,
+            load=round(known.load(now), 2),
+            suspect=known.reach.suspect,
+            cold=known.cold_until > now,
+            copy=packet.copy,
+            tried=[other.server.id for other in note.tried],
+            revision=self._directory.revision,
+        )
         known.reach.note_placed(now)
         self._opens.append((now, packet.flow, known))
         self._send(known, packet)
@@ -161,18 +183,23 @@
             # changed the tag after the flow was established.
             known = note.server
         if known is None:
-            self.counters["drop_unknown_tag"] += 1
+            self._drop(packet, "unknown_tag", tag=packet.tag)
             return
         if not route.serves(known.server.service):
-            self.counters["drop_foreign_tag"] += 1
+            self._drop(packet, "foreign_tag", server=known.server.id)
             return
         if note is None:
             note = self.flows.create(packet.flow, now)
         self._observe(note, known, packet, now)
         if packet.size and route.idempotent and known.is_unreachable(now):
             # The caller repeats the request on a new flow at once.
-            self.counters["reset_unreachable"] += 1
-            self._link.send_reset(packet)
+            self._reset(
+                packet,
+                "unreachable",
+                server=known.server.id,
+                silent_flows=known.reach.silent_flows(now),
+                silent_elsewhere=known.reach.peers_silent,
+            )
             self.flows.forget(packet.flow)
             return
         self._send(known, packet)
@@ -183,17 +210,21 @@
         self, note: FlowNote, known: KnownServer, packet: TaggedPacket, now: float
     ) -> None:
         """Conclude from a caller's packet whether its server answers."""
-        note.seen_at = now
         if not note.established:
-            if note.server is not None:
-                known.note_progress(now)  # it answered the opening packet
+            if note.server is not None:  # it answered the opening packet
+                self._note_progress(known, packet.flow, now)
+                self._observe_time("open_seconds", now - note.seen_at)
+            note.seen_at = now
             note.established = True
             note.server = known
             note.acked = packet.acked
         elif is_after(packet.acked, note.acked):
             note.acked = packet.acked
+            if note.waiting_since:
+                self._observe_time("answer_seconds", now - note.waiting_since)
             note.waiting_since = 0.0
-            known.note_progress(now)
+            self._note_progress(known, packet.flow, now)
+        note.seen_at = now
         if not packet.size:
             return
         if note.seq is None or is_after(packet.seq, note.seq):
@@ -204,7 +235,8 @@
                 known.requests.add(now)
         elif packet.seq == note.seq and now - note.sent_at >= MIN_REPEAT_S:
             self.counters["repeated"] += 1
-            known.note_repeat(packet.flow, now)
+            if known.note_repeat(packet.flow, now):
+                self._log_suspect(known, packet.flow, "unanswered data")
             self._tell_evidence()
 
     def _cold_share(self, service: str) -> float:
@@ -213,6 +245,45 @@
         limits = table.services.get(service) if table else None
         return limits.cold_opens_per_s / self.instances if limits else 0.0
 
+    def _note_progress(self, known: KnownServer, flow: bytes, now: float) -> None:
+        if known.note_progress(now):
+            self.log.note("SERVER_HEARD", flow, server=known.server.id)
+
+    def _log_suspect(self, known: KnownServer, flow: bytes, reason: str) -> None:
+        self.log.note(
+            "SERVER_SUSPECT",
+            flow,
+            server=known.server.id,
+            server_zone=known.server.zone,
+            reason=reason,
+            registered=known.registered,
+        )
+
+    def _observe_time(self, name: str, seconds: float) -> None:
+        if self.observe is not None:
+            self.observe(name, seconds)
+
+    def _reset(self, packet: TaggedPacket, reason: str, **inputs: Any) -> None:
+        self.counters[f"reset_{reason}"] += 1
+        self.log.note(
+            "FLOW_RESET",
+            packet.flow,
+            reason=reason,
+            revision=self._directory.revision,
+            **inputs,
+        )
+        self._link.send_reset(packet)
+
+    def _drop(self, packet: TaggedPacket, reason: str, **inputs: Any) -> None:
+        self.counters[f"drop_{reason}"] += 1
+        self.log.note(
+            "FLOW_DROPPED",
+            packet.flow,
+            reason=reason,
+            revision=self._directory.revision,
+            **inputs,
+        )
+
     def _tell_evidence(self) -> None:
         if self.on_evidence is not None:
             self.on_evidence()
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -108,10 +108,10 @@
             return False
         return self.reach.admits(now)
 
-    def note_progress(self, now: float) -> None:
-        """Note that a flow got an answer."""
-        self.reach.note_progress(now)
+    def note_progress(self, now: float) -> bool:
+        """Note that a flow got an answer; returns whether it was suspect."""
         self.zone_reach.note_progress(now)
+        return self.reach.note_progress(now)
 
     def note_repeat(self, flow: bytes, now: float) -> bool:
         """Note that data was repeated; returns whether the server became suspect."""
--- a/tests/steering/rig.py
+++ b/tests/steering/rig.py
@@ -11,6 +11,7 @@
     WeightedService,
 )
 from magnoliaslip.registry.source import Changes, RoutesChange, ServerChange
+from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketKind, TaggedPacket
 from magnoliaslip.steering.router import TagRouter
@@ -57,6 +58,16 @@
     )
 
 
+class CollectingLog(DecisionLog):
+    """Keeps what was noted: event, flow, inputs."""
+
+    def __init__(self):
+        self.notes = []
+
+    def note(self, event, flow=b"", **inputs):
+        self.notes.append((event, flow, inputs))
+
+
 class Rig:
     """One router; `now` is the time of the next packet."""
 
@@ -65,11 +76,13 @@
         self.link = CollectingLink()
         self.directory = Directory()
         self.counters = Counter()
+        self.log = CollectingLog()
         self.router = TagRouter(
             zone,
             directory=self.directory,
             link=self.link,
             counters=self.counters,
+            log=self.log,
         )
         self.publish(RoutesChange(table or routes()))
         self.publish(*(ServerChange(s.id, s) for s in servers))
