Import between packets in one thread; answer readiness from the start

Cause: at the return after a power loss the importing thread took half of the processor from the packets that waited, and instances were out of rotation until the imports were done.

The plain loop now answers readiness too, imports begin when no packet came for 60 ms or after 1 s, and each module is imported between packets, without a second thread. SIGHUP during the start no longer ends the process.

--- a/src/magnoliaslip/core/http_server.py
+++ b/src/magnoliaslip/core/http_server.py
@@ -4,6 +4,8 @@
 from contextlib import suppress
 from dataclasses import dataclass, field
 from logging import getLogger
+from socket import create_server
+from socket import socket as Socket  # noqa: N812
 from urllib.parse import parse_qsl, unquote, urlsplit
 
 from anyio import (
@@ -11,9 +13,8 @@
     BrokenResourceError,
     ClosedResourceError,
     EndOfStream,
-    create_tcp_listener,
 )
-from anyio.abc import SocketStream, TaskStatus
+from anyio.abc import SocketListener, SocketStream, TaskStatus
 from h11 import (
     DONE,
     NEED_DATA,
@@ -74,12 +75,21 @@
 
 
 async def serve_http(
-    address: Address,
+    address: Address | Socket,
     handler: Handler,
     *,
     task_status: TaskStatus[None] = TASK_STATUS_IGNORED,
 ) -> None:
-    """Serve until cancelled; one task per connection."""
+    """Serve until cancelled; one task per connection.
+
+    Args:
+        address: Address to bind, or a socket that listens already.
+        handler: Answers a request.
+        task_status: Told when the server listens.
+
+    Raises:
+        OSError: The address can't be bound.
+    """
 
     async def serve_connection(stream: SocketStream) -> None:
         async with stream:
@@ -93,9 +103,10 @@
             ):
                 await _serve_requests(stream, handler)
 
-    listener = await create_tcp_listener(
-        local_host=address.host, local_port=address.port
-    )
+    # Without a look-up of the name, which would need a thread.
+    sock = address if isinstance(address, Socket) else create_server(address)
+    sock.setblocking(False)
+    listener = await SocketListener.from_socket(sock)
     async with listener:
         task_status.started()
         await listener.serve(serve_connection)
--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -53,6 +53,11 @@
             log=DecisionBuffer(),
         )
 
+    @property
+    def ready(self) -> bool:
+        """Whether routes and servers are known."""
+        return self.directory.ready
+
     def handle_batch(self, datagrams: list[bytes]) -> None:
         """Handle datagrams of callers."""
         now = self._clock.monotonic()
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -5,10 +5,11 @@
 from os import PathLike
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
+from socket import socket as Socket  # noqa: N812
 
 from anyio import Event as Signal
 from anyio import create_task_group, open_signal_receiver, sleep
-from anyio.to_thread import run_sync
+from anyio.lowlevel import checkpoint
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
@@ -27,6 +28,7 @@
 from magnoliaslip.runtime.adapter import PlatformAdapter
 from magnoliaslip.runtime.decision_log import EventDecisionLog
 from magnoliaslip.runtime.forwarder import Forwarder
+from magnoliaslip.runtime.late_imports import import_metrics_page
 from magnoliaslip.runtime.metrics_page import MetricsPage, Reading
 from magnoliaslip.runtime.settings import SteeringSettings
 from magnoliaslip.steering.decisions import DecisionBuffer
@@ -36,6 +38,7 @@
 # instance out of rotation; packets are forwarded for this long, in seconds.
 LINGER_S = 1.5
 METRICS_PATH = "/metrics"
+METRICS_TYPE = "text/plain; version=0.0.4"
 STDOUT = 1
 MICROSECONDS = 1e6
 
@@ -51,6 +54,7 @@
         adapter: Translates to and from the platform.
         source: The platform's store.
         settings_path: File that is read again on SIGHUP.
+        readiness: Listening socket on which the fabric asks for readiness.
         clock: Source of time.
         rng: Source of jitter.
     """
@@ -63,11 +67,13 @@
         adapter: PlatformAdapter,
         source: RegistrySource,
         settings_path: str | PathLike[str],
+        readiness: Socket,
         clock: Clock | None = None,
         rng: Random | None = None,
     ) -> None:
         self._cfg = cfg
         self._settings_path = settings_path
+        self._readiness = readiness
         self._forwarder = forwarder
         self._adapter = adapter
         self._clock = clock or SystemClock()
@@ -114,7 +120,7 @@
                 read_batches, self._forwarder.sock, self._forwarder.handle_batch
             )
             tasks.start_soon(self._reader.run)
-            tasks.start_soon(serve_http, cfg.readiness, self._answer_readiness)
+            tasks.start_soon(serve_http, self._readiness, self._answer_readiness)
             tasks.start_soon(catch_up.run)
             tasks.start_soon(serve_http, cfg.control, self._answer_peer)
             tasks.start_soon(self._gossip.receive)
@@ -191,9 +197,11 @@
     async def _answer_metrics(self, req: HttpRequest) -> HttpAnswer:
         if req.path != METRICS_PATH:
             return HttpAnswer(404)
-        # In a thread, as the first page imports the library.
-        page = await run_sync(self._page.render)
-        return HttpAnswer(200, page, (("Content-Type", "text/plain; version=0.0.4"),))
+        for _ in import_metrics_page():
+            await checkpoint()
+        return HttpAnswer(
+            200, self._page.render(), (("Content-Type", "text/plain; version=0.0.4"),)
+        )
 
     def _read_metrics(self) -> Reading:
         now = self._clock.monotonic()
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -2,20 +2,24 @@
 
 An instance of a small machine forwards its first packet long before an event loop
 could be imported there. So the start has two parts: a plain loop forwards packets by
-a directory that was read once, while a thread imports what the rest needs; then the
-event loop takes over socket, directory and router.
+a directory that was read once, and imports what the rest needs between packets; then
+the event loop takes over sockets, directory and router.
 """
 
 from os import PathLike
-from select import select
-from sys import getswitchinterval, setswitchinterval, stderr
+from signal import SIG_IGN, SIGHUP, signal
+from socket import create_server
+from socket import socket as Socket  # noqa: N812
+from sys import stderr
 
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.errors import PlatformError, SettingsError
-from magnoliaslip.dataplane.udp_socket import open_udp, receive_batch
+from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.registry.source import RegistrySource
 from magnoliaslip.runtime.adapter import PlatformAdapter
 from magnoliaslip.runtime.forwarder import Forwarder
+from magnoliaslip.runtime.late_imports import import_event_loop
+from magnoliaslip.runtime.plain_loop import PlainLoop
 from magnoliaslip.runtime.settings import SteeringSettings
 
 EXIT_STOPPED = 0
@@ -25,11 +29,6 @@
 # Time in seconds for the first read of the store. It answers in milliseconds; when it
 # does not, other instances may, and they are asked by the event loop.
 FIRST_READ_S = 0.4
-# Time in seconds after which the plain loop looks whether the imports are done.
-POLL_S = 0.02
-# Time in seconds after which the importing thread hands the interpreter to a packet
-# that waits; the default of 5 ms is 20 ms on a quarter of a core.
-SWITCH_INTERVAL_S = 0.0005
 
 
 def run_with_settings(path: str | PathLike[str], adapter: PlatformAdapter) -> int:
@@ -39,6 +38,8 @@
         path: Settings file, JSON with comments.
         adapter: Translates to and from the platform.
     """
+    # Settings that change during the start are read by the event loop anyway.
+    signal(SIGHUP, SIG_IGN)
     try:
         cfg = SteeringSettings.load(path)
     except SettingsError as exc:
@@ -46,10 +47,11 @@
         return EXIT_INVALID_SETTINGS
     try:
         sock = open_udp(cfg.packets)
+        listener = create_server(cfg.readiness)
     except OSError as exc:
         print(f"{exc}. Remedy: check the addresses", file=stderr)
         return EXIT_ADDRESS_IN_USE
-    with sock:
+    with sock, listener:
         forwarder = Forwarder(
             cfg.zone,
             sock=sock,
@@ -59,8 +61,8 @@
         )
         source = adapter.source(cfg.store)
         _read_once(source, forwarder)
-        _forward_during_imports(forwarder)
-        return _run_event_loop(path, cfg, adapter, source, forwarder)
+        _forward_during_imports(PlainLoop(forwarder, listener))
+        return _run_event_loop(path, cfg, adapter, source, forwarder, listener)
 
 
 def _read_once(source: RegistrySource, forwarder: Forwarder) -> None:
@@ -72,26 +74,12 @@
     forwarder.apply_directory()
 
 
-def _forward_during_imports(forwarder: Forwarder) -> None:
-    forwarder.handle_batch(receive_batch(forwarder.sock))
-    # Imported here, as the first packets do not need it.
-    from threading import Thread
-
-    thread = Thread(target=_import_event_loop, daemon=True)
-    interval = getswitchinterval()
-    setswitchinterval(SWITCH_INTERVAL_S)
-    thread.start()
-    while thread.is_alive():
-        if select([forwarder.sock], [], [], POLL_S)[0]:
-            forwarder.handle_batch(receive_batch(forwarder.sock))
-    thread.join()
-    setswitchinterval(interval)
-
-
-def _import_event_loop() -> None:
-    import anyio._backends._asyncio  # noqa: F401
-
-    import magnoliaslip.runtime.process  # noqa: F401
+def _forward_during_imports(loop: PlainLoop) -> None:
+    if loop.forwarder.ready:
+        loop.run_until_idle()
+    for _ in import_event_loop():
+        if loop.forwarder.ready:
+            loop.serve_waiting()
 
 
 def _run_event_loop(
@@ -100,6 +88,7 @@
     adapter: PlatformAdapter,
     source: RegistrySource,
     forwarder: Forwarder,
+    listener: Socket,
 ) -> int:
     from anyio import run
 
@@ -111,6 +100,7 @@
         adapter=adapter,
         source=source,
         settings_path=path,
+        readiness=listener,
     )
     code = EXIT_STOPPED
     try:
