Test instances as processes; greet new instances for 5 s

The tests start platform/main.py on loopback with a stand-in of the store: a flow goes on through an instance that started while the store was away, opens without a route are reset, a planned stop forwards until the fabric noticed, SIGHUP with invalid settings changes nothing.

Unheard instances are now greeted in every period for 5 s.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -29,6 +29,9 @@
 ANNOUNCE_S = 0.1
 # Periods between two digests to an instance that is not heard.
 RETRY_PERIODS = 4
+# An instance that became known a short time ago is greeted in every period for this
+# time in seconds: after a power loss all instances start within about 2 s.
+GREETING_S = 5.0
 # Hosts that a digest names at most.
 MAX_NAMED_PEERS = 16
 # Loads below this many requests per second are not worth their bytes.
@@ -183,7 +186,11 @@
         return digests
 
     def _is_due(self, peer: Peer, now: float) -> bool:
-        return peer.is_live(now) or self._period % RETRY_PERIODS == 0
+        return (
+            peer.is_live(now)
+            or now - peer.named_at < GREETING_S
+            or self._period % RETRY_PERIODS == 0
+        )
 
     def _send(self, hosts: list[str]) -> None:
         data = encode_digest(self.digest(self._clock.monotonic()))
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -13,7 +13,7 @@
     decode_digest,
     encode_digest,
 )
-from magnoliaslip.gossip.exchange import GossipExchange
+from magnoliaslip.gossip.exchange import PERIOD_S, GossipExchange
 from magnoliaslip.gossip.peers import LIVE_S
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.source import Changes, ServerChange
@@ -102,6 +102,20 @@
     assert live == [3, 3, 3, 3]
 
 
+def test_seed_that_starts_a_moment_later_is_found_in_the_next_period():
+    # After a power loss, the greeting of the first instance finds nobody.
+    clock = ManualClock(start=100.0)
+    first = Node("10.0.0.2", "a", clock)
+    first.exchange.send_once()
+    deliver([first])
+    clock.advance(PERIOD_S)
+    seed = Node("10.0.0.1", "a", clock)
+    first.exchange.send_once()
+    deliver([first, seed])
+    assert len(seed.exchange.peers.live(clock.monotonic())) == 1
+    assert len(first.exchange.peers.live(clock.monotonic())) == 1
+
+
 def test_loads_of_others_are_summed_and_end_with_them():
     clock, nodes = fleet("a", "a", "b")
     now = clock.monotonic()
--- /dev/null
+++ b/tests/processes/test_steering.py
@@ -0,0 +1,224 @@
+"""Guards against an instance on the fleet platform that starts or stops wrongly.
+
+Real processes on loopback: each instance has a host of its own, as ports are the
+same on all of them.
+"""
+
+from json import dumps
+from pathlib import Path
+from random import Random
+from signal import SIGHUP, SIGTERM
+from socket import AF_INET, SOCK_DGRAM
+from socket import socket as Socket  # noqa: N812
+from sys import executable
+
+import anyio
+import pytest
+
+from magnoliaslip.config.http_client import http_get
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.http_server import serve_http
+from magnoliaslip.lab.ports import PortPicker
+from tests.platform.store_stand_in import StoreStandIn
+
+ROOT = Path(__file__).parents[2]
+WAIT_S = 20.0
+ROUTE = ("198.18.0.1", 443)
+SYN, ACK, RST = 16, 2, 4
+
+
+def packet(port, flags, *, tag=0, seq=1, ack=0, dport=ROUTE[1]):
+    """Build a packet of the caller 127.0.0.9."""
+    return (
+        port.to_bytes(2, "big")
+        + dport.to_bytes(2, "big")
+        + bytes([127, 0, 0, 9, 198, 18, 0, 1])
+        + seq.to_bytes(4, "big")
+        + ack.to_bytes(4, "big")
+        + bytes([0, 0, flags, 0])
+        + tag.to_bytes(4, "big")
+        + b"sum!"
+    )
+
+
+def udp(host, port=0):
+    sock = Socket(AF_INET, SOCK_DGRAM)
+    sock.bind((host, port))
+    sock.setblocking(False)
+    return sock
+
+
+async def receive(sock):
+    with anyio.fail_after(WAIT_S):
+        await anyio.wait_readable(sock)
+        return sock.recv(2048)
+
+
+class Site:
+    """A store, one backend server, one caller and instances."""
+
+    def __init__(self, tmp_path, tasks):
+        self.tmp_path = tmp_path
+        self.tasks = tasks
+        picker = PortPicker(Random())
+        names = ("packets", "readiness", "control", "metrics")
+        self.ports = {name: picker.pick().port for name in names}
+        self.store_address = picker.pick()
+        self.store = StoreStandIn()
+        self.server = udp("127.0.0.8")
+        self.caller = udp("127.0.0.9", self.ports["packets"])
+        self.store.put_routes(4, ROUTE)
+        self.store.put_server("i-5c", self.server.getsockname())
+
+    async def serve_store(self):
+        await self.tasks.start(serve_http, self.store_address, self.store.answer)
+
+    def settings(self, host, **changes):
+        settings = {
+            "id": host,
+            "zone": "a",
+            "packets": f"{host}:{self.ports['packets']}",
+            "readiness": f"{host}:{self.ports['readiness']}",
+            "control": f"{host}:{self.ports['control']}",
+            "store": str(self.store_address),
+            "seeds": [f"127.0.0.2:{self.ports['control']}"],
+            "metrics_port": self.ports["metrics"],
+        }
+        path = self.tmp_path / f"{host}.jsonc"
+        path.write_text(dumps(settings | changes))
+        return path
+
+    async def start(self, host, **changes):
+        path = self.settings(host, **changes)
+        return await anyio.open_process(
+            [executable, str(ROOT / "platform/main.py")],
+            env={"MAGNOLIASLIP_CONFIG": str(path)},
+        )
+
+    async def wait_status(self, host, status):
+        address = Address(host, self.ports["readiness"])
+        with anyio.fail_after(WAIT_S):
+            while True:
+                try:
+                    answer = await http_get(address, "/v1/readiness")
+                    if answer.status == status:
+                        return
+                except OSError:
+                    pass
+                await anyio.sleep(0.02)
+
+    def send(self, host, data):
+        self.caller.sendto(data, (host, self.ports["packets"]))
+
+
+def play(tmp_path, act):
+    async def main():
+        async with anyio.create_task_group() as tasks:
+            site = Site(tmp_path, tasks)
+            await site.serve_store()
+            processes = []
+            start = site.start
+
+            async def start_and_note(*args, **changes):
+                processes.append(await start(*args, **changes))
+                return processes[-1]
+
+            site.start = start_and_note
+            try:
+                await act(site)
+            finally:
+                for process in processes:
+                    if process.returncode is None:
+                        process.kill()
+                    await process.aclose()
+                tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+
+
+def test_packets_of_a_flow_reach_their_server_through_any_instance(tmp_path):
+    async def act(site):
+        await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        site.send("127.0.0.2", packet(4001, SYN))
+        opening = await receive(site.server)
+        assert opening[:8] == bytes([0] * 7 + [0x5C])
+        tag = int.from_bytes(opening[8:][24:28], "big")
+        assert tag != 0
+        # An instance that starts while the store is away learns from the first one.
+        site.store.up = False
+        await site.start("127.0.0.3")
+        await site.wait_status("127.0.0.3", 200)
+        site.send("127.0.0.3", packet(4001, ACK, tag=tag, ack=7))
+        assert (await receive(site.server))[8:] == packet(4001, ACK, tag=tag, ack=7)
+
+    play(tmp_path, act)
+
+
+def test_endpoint_without_a_route_is_reset(tmp_path):
+    async def act(site):
+        await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        site.send("127.0.0.2", packet(4001, SYN, dport=444))
+        reset = await receive(site.caller)
+        assert reset[22] == RST
+        assert reset[:4] == packet(4001, SYN, dport=444)[2:4] + (4001).to_bytes(
+            2, "big"
+        )
+
+    play(tmp_path, act)
+
+
+def test_planned_stop_forwards_until_the_fabric_noticed(tmp_path):
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        site.send("127.0.0.2", packet(4001, SYN))
+        tag = int.from_bytes((await receive(site.server))[8:][24:28], "big")
+        await wait_metrics(site)
+        process.send_signal(SIGTERM)
+        await site.wait_status("127.0.0.2", 503)
+        site.send("127.0.0.2", packet(4001, ACK, tag=tag, ack=7))
+        await receive(site.server)
+        with anyio.fail_after(WAIT_S):
+            assert await process.wait() == 0
+
+    play(tmp_path, act)
+
+
+async def wait_metrics(site):
+    """Wait until the event loop runs; the plain loop has no metrics."""
+    address = Address("127.0.0.2", site.ports["metrics"])
+    with anyio.fail_after(WAIT_S):
+        while True:
+            try:
+                return (await http_get(address, "/metrics")).body.decode()
+            except OSError:
+                await anyio.sleep(0.05)
+
+
+def test_metrics_and_reload(tmp_path):
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        assert "magnoliaslip_ready 1.0" in await wait_metrics(site)
+        site.settings("127.0.0.2", log_level="ERROR", id="")
+        process.send_signal(SIGHUP)
+        output = b""
+        with anyio.fail_after(WAIT_S):
+            while b"SETTINGS_KEPT" not in output:
+                output += await process.stdout.receive()
+        assert process.returncode is None
+
+    play(tmp_path, act)
+
+
+@pytest.mark.parametrize("change", [{"zone": 5}, {"unknown": 1}, {"control": "x"}])
+def test_invalid_settings_end_the_start_with_a_remedy(tmp_path, change):
+    async def act(site):
+        process = await site.start("127.0.0.2", **change)
+        with anyio.fail_after(WAIT_S):
+            assert await process.wait() == 1
+            assert b"Remedy: " in await process.stderr.receive()
+
+    play(tmp_path, act)
