--- a/src/magnoliaslip/bench/__main__.py
+++ b/src/magnoliaslip/bench/__main__.py
@@ -17,6 +17,7 @@
     "control": "magnoliaslip.bench.control:measure_control",
     "news": "magnoliaslip.bench.news:measure_spread",
     "resident": "magnoliaslip.bench.resident:measure_resident",
+    "start": "magnoliaslip.bench.start:measure_start",
 }
 
 
--- /dev/null
+++ b/src/magnoliaslip/bench/start.py
@@ -0,0 +1,25 @@
+"""What an instance that steers by server tags imports before its first packet."""
+
+from magnoliaslip.bench.child import import_in_child
+from magnoliaslip.bench.report import Figure
+
+REPETITIONS = 5
+MIB = 1 << 20
+# Loaded when the first packet is forwarded; an adapter adds its own translation.
+FIRST_PACKET = "magnoliaslip.runtime.start,magnoliaslip.core.http_blocking,json"
+# Loaded when the event loop has taken over.
+EVENT_LOOP = FIRST_PACKET + (
+    ",anyio,anyio._backends._asyncio,h11,hdrh.histogram,magnoliaslip.runtime.process"
+)
+
+
+def measure_start() -> list[Figure]:
+    """Measure processor time and memory beyond the interpreter's own."""
+    figures = []
+    for name, modules in (("first_packet", FIRST_PACKET), ("event_loop", EVENT_LOOP)):
+        runs = [import_in_child(modules) for _ in range(REPETITIONS)]
+        seconds = [seconds * 1e3 for *_, seconds in runs]
+        figures.append(Figure.of(f"start_cpu/{name}", seconds, "ms"))
+        added = [(after - before) / MIB for before, after, _ in runs]
+        figures.append(Figure.of(f"start_memory/{name}", added, "MiB"))
+    return figures
