Let two instances of a zone watch the store; send others what changed

Rendezvous hashing over the live instances of a zone chooses two that watch; they tell news at once, and the others read only what changed since their revision. An instance that does not watch asks the store itself after 10 s. A digest keeps the suspects and the 80 busiest servers, so that it always fits a datagram.

--- a/src/magnoliaslip/gossip/catch_up.py
+++ b/src/magnoliaslip/gossip/catch_up.py
@@ -33,16 +33,23 @@
         directory: Receives the snapshot.
         port: Control port of all instances.
         on_change: Called after the directory changed.
+        watches: Returns whether this instance watches the store itself.
     """
 
-    __slots__ = ("_directory", "_news", "_on_change", "_peer", "_port")
+    __slots__ = ("_directory", "_news", "_on_change", "_peer", "_port", "_watches")
 
     def __init__(
-        self, directory: Directory, *, port: int, on_change: Callable[[], None]
+        self,
+        directory: Directory,
+        *,
+        port: int,
+        on_change: Callable[[], None],
+        watches: Callable[[], bool],
     ) -> None:
         self._directory = directory
         self._port = port
         self._on_change = on_change
+        self._watches = watches
         self._peer: Peer | None = None
         self._news = Signal()
 
@@ -56,7 +63,7 @@
         while True:
             await self._news.wait()
             self._news = Signal()
-            if self._directory.ready:
+            if self._directory.ready and self._watches():
                 await sleep(OWN_WATCH_S)
             if self._is_behind():
                 await self._read()
@@ -71,19 +78,24 @@
         try:
             with fail_after(READ_TIMEOUT_S):
                 answer = await http_get(
-                    address, SNAPSHOT_PATH, max_body_bytes=MAX_SNAPSHOT_BYTES
+                    address,
+                    f"{SNAPSHOT_PATH}?after={self._directory.revision}",
+                    max_body_bytes=MAX_SNAPSHOT_BYTES,
                 )
             if answer.status != 200:
                 raise PeerError(f"status {answer.status}")
-            changes = decode_snapshot(bytes(answer.body))
+            snapshot = decode_snapshot(bytes(answer.body))
         except (OSError, TimeoutError, HttpProtocolError, PeerError) as exc:
             log_event(logger, Event.SNAPSHOT_FAILED, member=address.host, reason=exc)
             return
-        if self._directory.replace(changes):
+        directory = self._directory
+        take = directory.replace if snapshot.complete else directory.apply
+        if take(snapshot.changes):
             log_event(
                 logger,
                 Event.SNAPSHOT_TAKEN,
                 member=address.host,
-                revision=changes.revision,
+                revision=snapshot.changes.revision,
+                complete=snapshot.complete,
             )
             self._on_change()
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -19,7 +19,7 @@
     decode_digest,
     encode_digest,
 )
-from magnoliaslip.gossip.peers import Peer, PeerTable
+from magnoliaslip.gossip.peers import Peer, PeerTable, is_reader
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.steering.servers import ServerSet
 
@@ -34,6 +34,9 @@
 GREETING_S = 5.0
 # Hosts that a digest names at most.
 MAX_NAMED_PEERS = 16
+# Servers in a digest at most, so that it fits one datagram: suspects first, then those
+# with the highest load.
+MAX_SERVERS = 80
 # Loads below this many requests per second are not worth their bytes.
 MIN_LOAD_PER_S = 0.2
 
@@ -156,6 +159,15 @@
             peer = next(peer for peer in self.peers if peer.host == source.host)
             self._on_news(peer)
 
+    def is_reader(self) -> bool:
+        """Return whether this instance watches the store for its zone."""
+        zone = [
+            peer.host
+            for peer in self.peers.live(self._clock.monotonic())
+            if peer.digest is not None and peer.digest.zone == self._zone
+        ]
+        return is_reader(self._sock.getsockname()[0], zone)
+
     def digest(self, now: float) -> Digest:
         """Return the state of this instance."""
         table = self._directory.table
@@ -183,6 +195,9 @@
                         known.reach.silent_flows(now),
                     )
                 )
+        if len(digests) > MAX_SERVERS:
+            digests.sort(key=lambda line: (line.suspect, line.load), reverse=True)
+            del digests[MAX_SERVERS:]
         return digests
 
     def _is_due(self, peer: Peer, now: float) -> bool:
--- a/src/magnoliaslip/gossip/peers.py
+++ b/src/magnoliaslip/gossip/peers.py
@@ -1,8 +1,9 @@
 """The other instances, as far as this one heard of them."""
 
-from collections.abc import Iterator
+from collections.abc import Iterable, Iterator
 
 from magnoliaslip.gossip.digest import Digest
+from magnoliaslip.placement.hashing import rank
 
 # An instance that was not heard for this time in seconds no longer counts: three
 # periods and a half, so that two lost datagrams in a row do not matter.
@@ -10,6 +11,9 @@
 # An instance that was not heard for this time in seconds is forgotten; until then it
 # is sent a digest now and then, so that both sides of a cut find each other again.
 FORGET_S = 60.0
+# Instances of a zone that watch the store; the second one covers the moment in which
+# the first one is gone and the others have not noticed.
+READERS = 2
 
 
 class Peer:
@@ -39,6 +43,22 @@
         )
 
 
+def is_reader(own_host: str, hosts: Iterable[str]) -> bool:
+    """Return whether an instance watches the store for its availability zone.
+
+    Rendezvous hashing over the live instances of the zone chooses `READERS`; when one
+    falls silent, the next one takes its place.
+
+    Args:
+        own_host: The instance.
+        hosts: The other live instances of its zone.
+
+    >>> sum(is_reader(h, {"a", "b", "c"} - {h}) for h in ("a", "b", "c"))
+    2
+    """
+    return own_host in rank("reader", [own_host, *hosts])[:READERS]
+
+
 class PeerTable:
     """All known instances but this one.
 
--- a/src/magnoliaslip/registry/directory.py
+++ b/src/magnoliaslip/registry/directory.py
@@ -1,5 +1,7 @@
 """The state that all published changes lead to."""
 
+from collections import deque
+
 from magnoliaslip.registry.model import RegisteredServer, RouteTable
 from magnoliaslip.registry.source import (
     Change,
@@ -10,6 +12,10 @@
     ZoneChange,
 )
 
+# Answers of the store that are kept for instances that do not watch it; they ask
+# within seconds.
+MAX_HISTORY = 256
+
 
 class Directory:
     """Routes, registered servers and zones out of service, at one revision.
@@ -21,13 +27,17 @@
         zones_out: Availability zones that are out of service.
     """
 
-    __slots__ = ("revision", "servers", "table", "zones_out")
+    __slots__ = ("_history", "revision", "servers", "table", "zones_out")
 
     def __init__(self) -> None:
         self.revision = 0
         self.table: RouteTable | None = None
         self.servers: dict[str, RegisteredServer] = {}
         self.zones_out: set[str] = set()
+        # Revision before, revision after and changes, oldest first.
+        self._history: deque[tuple[int, int, tuple[Change, ...]]] = deque(
+            maxlen=MAX_HISTORY
+        )
 
     @property
     def ready(self) -> bool:
@@ -42,6 +52,8 @@
         """
         if changes.revision < self.revision:
             return False
+        if changes.changes or not self._history:
+            self._history.append((self.revision, changes.revision, changes.changes))
         self.revision = changes.revision
         for change in changes.changes:
             self._apply(change)
@@ -57,16 +69,46 @@
             return False
         self.servers.clear()
         self.zones_out.clear()
+        self._history.clear()
+        self.revision = changes.revision
         return self.apply(changes)
 
-    def snapshot(self) -> Changes:
-        """Return everything as changes to an empty directory."""
-        changes: list[Change] = []
-        if self.table is not None:
-            changes.append(RoutesChange(self.table))
-        changes += [ZoneChange(zone, out=True) for zone in sorted(self.zones_out)]
-        changes += [ServerChange(s.id, s) for s in self.servers.values()]
-        return Changes(self.revision, tuple(changes))
+    def changes_since(self, revision: int) -> Changes | None:
+        """Return the present state of all that changed after a revision.
+
+        Args:
+            revision: Revision that another instance has.
+
+        Returns:
+            The changes, or None when the history does not reach back that far.
+        """
+        if not self._history or revision < self._history[0][0]:
+            return None
+        changes: dict[tuple[str, str], Change] = {}
+        for _, later, applied in self._history:
+            if later > revision:
+                for change in applied:
+                    self._add_present(change, changes)
+        return Changes(self.revision, tuple(changes.values()))
+
+    def _add_present(
+        self, change: Change, changes: dict[tuple[str, str], Change]
+    ) -> None:
+        """Add the present state of what a change was about."""
+        if isinstance(change, RoutesChange):
+            if self.table is not None:
+                changes["routes", ""] = RoutesChange(self.table)
+        elif isinstance(change, ZoneChange):
+            out = change.zone in self.zones_out
+            changes["zone", change.zone] = ZoneChange(change.zone, out=out)
+        else:
+            identifier = (
+                change.id if isinstance(change, ServerChange) else change.server_id
+            )
+            if identifier is not None:
+                changes["server", identifier] = ServerChange(
+                    identifier, self.servers.get(identifier)
+                )
 
     def _apply(self, change: Change) -> None:
         if isinstance(change, ServerChange):
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -20,6 +20,9 @@
 # A watch is renewed after this time in seconds; until then a connection that went
 # silent is not noticed.
 WATCH_S = 2.0
+# An instance that does not watch asks the store itself after this time in seconds.
+REST_S = 10.0
+REST_STEP_S = 0.5
 # Pauses in seconds after a read that failed: the first one, doubled up to the last.
 FIRST_BACKOFF_S = 0.1
 MAX_BACKOFF_S = 0.8
@@ -35,9 +38,19 @@
         directory: Receives the changes.
         on_change: Called after the directory changed.
         rng: Source of the jitter of pauses.
+        watches: Returns whether this instance watches; it does by default. Others
+            learn of changes from those that do.
     """
 
-    __slots__ = ("_backoff", "_directory", "_down", "_on_change", "_rng", "_source")
+    __slots__ = (
+        "_backoff",
+        "_directory",
+        "_down",
+        "_on_change",
+        "_rng",
+        "_source",
+        "_watches",
+    )
 
     def __init__(
         self,
@@ -46,11 +59,13 @@
         *,
         on_change: Callable[[], None],
         rng: Random,
+        watches: Callable[[], bool] = lambda: True,
     ) -> None:
         self._source = source
         self._directory = directory
         self._on_change = on_change
         self._rng = rng
+        self._watches = watches
         self._backoff = FIRST_BACKOFF_S
         self._down = False
 
@@ -65,6 +80,7 @@
         while True:
             try:
                 if complete:
+                    await self._rest()
                     await self._follow()
                 else:
                     complete = await self._list()
@@ -86,6 +102,13 @@
         self._on_change()
         return True
 
+    async def _rest(self) -> None:
+        """Leave the store to others, as long as they watch it."""
+        for _ in range(round(REST_S / REST_STEP_S)):
+            if self._watches():
+                return
+            await sleep(REST_STEP_S)
+
     async def _follow(self) -> None:
         changes = await self._source.watch(
             after=self._directory.revision, wait_s=WATCH_S
--- a/src/magnoliaslip/registry/snapshot.py
+++ b/src/magnoliaslip/registry/snapshot.py
@@ -1,9 +1,11 @@
-"""A directory as one document, for other instances."""
+"""A directory, or what changed in it, as one document for other instances."""
 
 from msgspec import DecodeError, Struct, ValidationError
 from msgspec.json import Decoder, Encoder
+from msgspec.structs import replace
 
 from magnoliaslip.core.errors import PeerError
+from magnoliaslip.core.record import Record
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import (
     RegisteredServer,
@@ -53,72 +55,123 @@
     cold_ms: int
 
 
-class _Snapshot(Struct, array_like=True, frozen=True):
+class _Document(Struct, array_like=True, frozen=True):
     revision: int
+    complete: bool
     table: _Table | None
     zones_out: list[str]
+    zones_in: list[str]
     servers: list[_Server]
+    removed: list[str]
 
 
 _ENCODER = Encoder()
-_DECODER = Decoder(_Snapshot)
+_DECODER = Decoder(_Document)
 
 
-def encode_snapshot(directory: Directory) -> bytes:
-    """Encode a directory as JSON."""
+class Snapshot(Record):
+    """What another instance sent.
+
+    Attributes:
+        complete: Whether the changes are to an empty directory.
+        changes: The changes.
+    """
+
+    __slots__ = ("changes", "complete")
+
+    def __init__(self, changes: Changes, *, complete: bool) -> None:
+        self.changes = changes
+        self.complete = complete
+
+
+def encode_snapshot(directory: Directory, *, after: int = 0) -> bytes:
+    """Encode a directory as JSON.
+
+    Args:
+        directory: The directory.
+        after: Revision that the reader has; only later changes are encoded if they
+            are still known.
+    """
+    changes = directory.changes_since(after) if after else None
+    if changes is not None:
+        return _ENCODER.encode(_encode_changes(changes))
     table = directory.table
-    snapshot = _Snapshot(
+    document = _Document(
         directory.revision,
+        True,
         _encode_table(table) if table else None,
         sorted(directory.zones_out),
-        [
-            _Server(
-                server.id,
-                server.started_ms,
-                server.service,
-                *server.address,
-                server.zone,
-                server.slots,
-                server.draining,
-                server.cold_ms,
-            )
-            for server in directory.servers.values()
-        ],
+        [],
+        [_encode_server(server) for server in directory.servers.values()],
+        [],
     )
-    return _ENCODER.encode(snapshot)
+    return _ENCODER.encode(document)
 
 
-def decode_snapshot(data: bytes) -> Changes:
-    """Decode a directory as changes to an empty one.
+def decode_snapshot(data: bytes) -> Snapshot:
+    """Decode a directory or what changed in it.
 
     Raises:
         PeerError: The document is no snapshot.
     """
     try:
-        snapshot = _DECODER.decode(data)
+        document = _DECODER.decode(data)
     except (DecodeError, ValidationError) as exc:
         raise PeerError(f"the snapshot can't be decoded: {exc}") from exc
     changes: list[Change] = []
-    if snapshot.table is not None:
-        changes.append(RoutesChange(_decode_table(snapshot.table)))
-    changes += [ZoneChange(zone, out=True) for zone in snapshot.zones_out]
+    if document.table is not None:
+        changes.append(RoutesChange(_decode_table(document.table)))
+    changes += [ZoneChange(zone, out=True) for zone in document.zones_out]
+    changes += [ZoneChange(zone, out=False) for zone in document.zones_in]
     changes += [
-        ServerChange(
-            line.id,
-            RegisteredServer(
-                line.id,
-                line.started_ms,
-                line.service,
-                (line.host, line.port),
-                line.zone,
-                max(1, line.slots),
-                draining=line.draining,
-                cold_ms=line.cold_ms,
-            ),
-        )
-        for line in snapshot.servers
+        ServerChange(line.id, _decode_server(line)) for line in document.servers
     ]
-    return Changes(snapshot.revision, tuple(changes))
+    changes += [ServerChange(identifier, None) for identifier in document.removed]
+    return Snapshot(
+        Changes(document.revision, tuple(changes)), complete=document.complete
+    )
+
+
+def _encode_changes(changes: Changes) -> _Document:
+    document = _Document(changes.revision, False, None, [], [], [], [])
+    table: _Table | None = None
+    for change in changes.changes:
+        if isinstance(change, RoutesChange):
+            table = _encode_table(change.table)
+        elif isinstance(change, ZoneChange):
+            zones = document.zones_out if change.out else document.zones_in
+            zones.append(change.zone)
+        elif isinstance(change, ServerChange) and change.server is not None:
+            document.servers.append(_encode_server(change.server))
+        elif isinstance(change, ServerChange):
+            document.removed.append(change.id)
+    return replace(document, table=table)
+
+
+def _encode_server(server: RegisteredServer) -> _Server:
+    return _Server(
+        server.id,
+        server.started_ms,
+        server.service,
+        *server.address,
+        server.zone,
+        server.slots,
+        server.draining,
+        server.cold_ms,
+    )
+
+
+def _decode_server(line: _Server) -> RegisteredServer:
+    return RegisteredServer(
+        line.id,
+        line.started_ms,
+        line.service,
+        (line.host, line.port),
+        line.zone,
+        max(1, line.slots),
+        draining=line.draining,
+        cold_ms=line.cold_ms,
+    )
 
 
 def _encode_table(table: RouteTable) -> _Table:
--- a/src/magnoliaslip/runtime/metrics_page.py
+++ b/src/magnoliaslip/runtime/metrics_page.py
@@ -28,6 +28,7 @@
     "live_instances": "Other instances that are heard.",
     "flows": "Flows of which something is remembered.",
     "ready": "Whether the instance is ready, 1 or 0.",
+    "watches_store": "Whether the instance watches the store for its zone, 1 or 0.",
     "store_answers": "Whether the store answers, 1 or 0.",
 }
 HISTOGRAMS = {
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -85,6 +85,7 @@
             forwarder.directory,
             on_change=self._apply_directory,
             rng=rng or Random(),
+            watches=self._watches,
         )
         self._lines = self._start_logging()
         self._gossip: GossipExchange
@@ -100,6 +101,7 @@
             self._forwarder.directory,
             port=cfg.control.port,
             on_change=self._apply_directory,
+            watches=self._watches,
         )
         async with AsyncExitStack() as stack:
             self._gossip = GossipExchange(
@@ -163,8 +165,13 @@
     def _observe(self, name: str, seconds: float) -> None:
         self._metrics.observe_us(name, seconds * MICROSECONDS)
 
+    def _watches(self) -> bool:
+        return self._gossip.is_reader()
+
     def _apply_directory(self) -> None:
         self._forwarder.apply_directory()
+        if self._watches():
+            self._gossip.announce()
         self._log_directory()
 
     def _log_directory(self) -> None:
@@ -192,7 +199,9 @@
             return HttpAnswer(404)
         if not self._forwarder.directory.ready:
             return HttpAnswer(503)
-        return HttpAnswer(200, encode_snapshot(self._forwarder.directory))
+        after = int(req.query.get("after", "0"))
+        data = encode_snapshot(self._forwarder.directory, after=after)
+        return HttpAnswer(200, data)
 
     async def _answer_metrics(self, req: HttpRequest) -> HttpAnswer:
         if req.path != METRICS_PATH:
@@ -218,6 +227,7 @@
             "live_instances": len(self._gossip.peers.live(now)),
             "flows": len(router.flows),
             "ready": int(self._ready),
+            "watches_store": int(self._watches()),
             "store_answers": int(self._reader.answers),
         }
 
--- /dev/null
+++ b/tests/registry/test_directory.py
@@ -0,0 +1,110 @@
+"""Guards against directories that go back, or differ between instances."""
+
+from random import Random
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from magnoliaslip.core.errors import PeerError
+from magnoliaslip.registry.directory import MAX_HISTORY, Directory
+from magnoliaslip.registry.snapshot import decode_snapshot, encode_snapshot
+from magnoliaslip.registry.source import (
+    Changes,
+    RoutesChange,
+    ServerChange,
+    UnreadableEntry,
+    ZoneChange,
+)
+from tests.steering.rig import LAB, routes, server
+
+
+def add(name, **fields):
+    return ServerChange(name, server(name, **fields))
+
+
+def state(directory):
+    return (
+        directory.revision,
+        directory.table,
+        directory.servers,
+        directory.zones_out,
+    )
+
+
+def copy(source, target):
+    """Bring a directory to the state of another one, as instances do."""
+    snapshot = decode_snapshot(encode_snapshot(source, after=target.revision))
+    take = target.replace if snapshot.complete else target.apply
+    assert take(snapshot.changes)
+    return snapshot.complete
+
+
+def test_older_revision_changes_nothing():
+    directory = Directory()
+    directory.apply(Changes(5, (add("i-1"),)))
+    assert not directory.apply(Changes(4, (ServerChange("i-1", None),)))
+    assert not directory.replace(Changes(4, ()))
+    assert set(directory.servers) == {"i-1"}
+
+
+def test_older_routes_of_a_list_are_not_taken():
+    directory = Directory()
+    directory.apply(Changes(5, (RoutesChange(routes(version=7)),)))
+    directory.replace(Changes(6, (RoutesChange(routes(version=6, endpoints=[LAB])),)))
+    assert directory.table.version == 7
+
+
+def test_unreadable_registration_removes_the_server():
+    directory = Directory()
+    directory.apply(Changes(5, (add("i-1"),)))
+    directory.apply(Changes(6, (UnreadableEntry("k", "broken", server_id="i-1"),)))
+    assert not directory.servers
+
+
+def test_random_changes_lead_to_the_same_state_elsewhere():
+    rng = Random(7)
+    source, target = Directory(), Directory()
+    names = [f"i-{n}" for n in range(6)]
+    partial = 0
+    for revision in range(1, 400):
+        name = rng.choice(names)
+        change = rng.choice(
+            [
+                add(name, started_ms=revision, draining=rng.random() < 0.3),
+                ServerChange(name, None),
+                ZoneChange(rng.choice("ab"), out=rng.random() < 0.5),
+                RoutesChange(routes(version=revision)),
+                UnreadableEntry("k", "broken", server_id=name),
+            ]
+        )
+        source.apply(Changes(revision, (change,)))
+        if rng.random() < 0.2:
+            partial += not copy(source, target)
+            assert state(source) == state(target)
+    assert partial > 50
+
+
+def test_reader_that_is_too_far_behind_gets_everything():
+    source, target = Directory(), Directory()
+    source.apply(Changes(1, (add("i-1"),)))
+    copy(source, target)
+    for revision in range(2, MAX_HISTORY + 10):
+        source.apply(Changes(revision, (add("i-2", started_ms=revision),)))
+    assert copy(source, target)
+    assert state(source) == state(target)
+
+
+def test_history_before_a_new_list_is_not_used():
+    source, target = Directory(), Directory()
+    source.apply(Changes(1, (add("i-1"), add("i-2"))))
+    copy(source, target)
+    source.replace(Changes(9, (add("i-2"),)))
+    assert copy(source, target)
+    assert set(target.servers) == {"i-2"}
+
+
+@given(st.binary(max_size=100))
+def test_any_document_is_decoded_or_refused(data):
+    with pytest.raises(PeerError):
+        decode_snapshot(data)
