Bound suspicions of others; stop gracefully during the start

Found in review: a suspicion was told for as long as it stood, and an instance without flows for the server never tries it again, so others of the zone could avoid a live server for ever; it is now told for 4 s after the last evidence. A SIGTERM before the event loop ended the process at once. Opens that wait to be judged are bounded. Each has a test, but the bound.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -186,12 +186,13 @@
         digests = []
         for known in self._servers:
             load = known.requests.per_s(now)
-            if known.registered and (load >= MIN_LOAD_PER_S or known.reach.suspect):
+            suspect = known.reach.is_reported(now)
+            if known.registered and (load >= MIN_LOAD_PER_S or suspect):
                 digests.append(
                     ServerDigest(
                         known.tag,
                         round(load * 10),
-                        known.reach.suspect,
+                        suspect,
                         known.reach.silent_flows(now),
                     )
                 )
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -22,6 +22,7 @@
 WATCH_S = 2.0
 # An instance that does not watch asks the store itself after this time in seconds.
 REST_S = 10.0
+# Time in seconds after which it looks whether it has to watch again.
 REST_STEP_S = 0.5
 # Pauses in seconds after a read that failed: the first one, doubled up to the last.
 FIRST_BACKOFF_S = 0.1
--- a/src/magnoliaslip/runtime/late_imports.py
+++ b/src/magnoliaslip/runtime/late_imports.py
@@ -1,8 +1,9 @@
 """Modules that an instance imports after its first packets.
 
 They are imported one by one in the thread that forwards packets, with the waiting
-packets in between. A second thread was ruled out: processes then ended now and then
-with SIGILL on the users' bench.
+packets in between. A second thread was ruled out: it takes half of the processor from
+the packets, and now and then processes ended with SIGILL where system calls are
+intercepted.
 """
 
 from collections.abc import Iterator
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -55,6 +55,7 @@
         source: The platform's store.
         settings_path: File that is read again on SIGHUP.
         readiness: Listening socket on which the fabric asks for readiness.
+        stop_requested: Whether a stop was requested during the start.
         clock: Source of time.
         rng: Source of jitter.
     """
@@ -68,6 +69,7 @@
         source: RegistrySource,
         settings_path: str | PathLike[str],
         readiness: Socket,
+        stop_requested: bool = False,
         clock: Clock | None = None,
         rng: Random | None = None,
     ) -> None:
@@ -78,6 +80,8 @@
         self._adapter = adapter
         self._clock = clock or SystemClock()
         self._stop = Signal()
+        if stop_requested:
+            self._stop.set()
         self._metrics = Metrics()
         self._page = MetricsPage(self._read_metrics, self._metrics)
         self._reader = RegistryReader(
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -7,10 +7,11 @@
 """
 
 from os import PathLike
-from signal import SIG_IGN, SIGHUP, signal
+from signal import SIG_IGN, SIGHUP, SIGTERM, signal
 from socket import create_server
 from socket import socket as Socket  # noqa: N812
 from sys import stderr
+from types import FrameType
 
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.errors import PlatformError, SettingsError
@@ -31,6 +32,23 @@
 FIRST_READ_S = 0.4
 
 
+class StopRequest:
+    """A SIGTERM that came before the event loop, which then stops gracefully.
+
+    Attributes:
+        noted: Whether it came.
+    """
+
+    __slots__ = ("noted",)
+
+    def __init__(self) -> None:
+        self.noted = False
+
+    def note(self, signum: int, frame: FrameType | None) -> None:
+        """Note the signal; a signal handler."""
+        self.noted = True
+
+
 def run_with_settings(path: str | PathLike[str], adapter: PlatformAdapter) -> int:
     """Run an instance until it is stopped; returns the exit code of the process.
 
@@ -40,6 +58,8 @@
     """
     # Settings that change during the start are read by the event loop anyway.
     signal(SIGHUP, SIG_IGN)
+    stop = StopRequest()
+    signal(SIGTERM, stop.note)
     try:
         cfg = SteeringSettings.load(path)
     except SettingsError as exc:
@@ -62,7 +82,7 @@
         source = adapter.source(cfg.store)
         _read_once(source, forwarder)
         _forward_during_imports(PlainLoop(forwarder, listener))
-        return _run_event_loop(path, cfg, adapter, source, forwarder, listener)
+        return _run_event_loop(path, cfg, adapter, source, forwarder, listener, stop)
 
 
 def _read_once(source: RegistrySource, forwarder: Forwarder) -> None:
@@ -89,6 +109,7 @@
     source: RegistrySource,
     forwarder: Forwarder,
     listener: Socket,
+    stop: StopRequest,
 ) -> int:
     from anyio import run
 
@@ -101,6 +122,7 @@
         source=source,
         settings_path=path,
         readiness=listener,
+        stop_requested=stop.noted,
     )
     code = EXIT_STOPPED
     try:
--- a/src/magnoliaslip/steering/choice.py
+++ b/src/magnoliaslip/steering/choice.py
@@ -36,8 +36,8 @@
     ) -> KnownServer | None:
         """Choose a server, or None when there is no candidate.
 
-        Servers without suspicion go first, then warm ones, then those not yet tried
-        for this flow; when none is left, all candidates count.
+        Suspect servers and those already tried for this flow are left out, unless no
+        other is left; then cold ones, unless all are cold.
 
         Args:
             candidates: Servers that may get new flows.
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -21,6 +21,10 @@
 # A suspect server is tried again with one new flow after this time in seconds: about
 # the time in which a caller gives up an unanswered open.
 TRIAL_S = 1.4
+# A suspicion is told to other instances until this time in seconds after the last
+# evidence: a few trials. An instance without flows for the server makes no trials, and
+# would keep the others from it for ever.
+REPORT_S = 4.0
 
 
 class Reachability:
@@ -119,6 +123,10 @@
         self._trial_at = now + TRIAL_S
         return True
 
+    def is_reported(self, now: float) -> bool:
+        """Return whether other instances should avoid the server as well."""
+        return self.suspect and now - self._repeat_at < REPORT_S
+
     def heard_since(self, moment: float) -> bool:
         """Return whether a flow got an answer after a moment."""
         return self._progress_at > moment
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -23,6 +23,10 @@
 # this time in seconds is a repetition.
 MIN_REPEAT_S = 0.15
 
+# Opens that are judged later at most; an instance under more load than it can read
+# judges the newest ones only.
+MAX_OPENS = 10_000
+
 OPEN = int(PacketKind.OPEN)
 RESET = int(PacketKind.RESET)
 
@@ -80,7 +84,7 @@
         self.flows = FlowNotes()
         self.servers = ServerSet(keep_s=MAX_FLOW_S)
         # Opens that may still be answered in time, oldest first.
-        self._opens: deque[tuple[float, bytes, KnownServer]] = deque()
+        self._opens: deque[tuple[float, bytes, KnownServer]] = deque(maxlen=MAX_OPENS)
 
     def apply_directory(self, now: float) -> None:
         """Take over what changed in the directory."""
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -17,6 +17,7 @@
 from magnoliaslip.gossip.peers import LIVE_S
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.source import Changes, ServerChange
+from magnoliaslip.steering.reachability import REPORT_S
 from magnoliaslip.steering.servers import ServerSet
 from tests.steering.rig import server
 
@@ -162,6 +163,20 @@
     assert nodes[1].known("i-1").admits(now)
 
 
+def test_suspicion_without_fresh_evidence_is_no_longer_told():
+    # An instance without flows for the server would keep the others from it for ever.
+    clock, nodes = fleet("a", "a")
+    now = clock.monotonic()
+    nodes[0].known("i-1").reach.note_unanswered_open(b"flow", now, now)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    assert nodes[1].known("i-1").peers_suspect
+    clock.advance(REPORT_S)
+    nodes[0].exchange.send_once()
+    deliver(nodes)
+    assert not nodes[1].known("i-1").peers_suspect
+
+
 def test_newer_directory_is_reported():
     _, nodes = fleet("a", "a")
     nodes[1].directory.apply(Changes(7, ()))
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -186,6 +186,18 @@
     play(tmp_path, act)
 
 
+def test_stop_during_the_start_is_graceful(tmp_path):
+    # The signal comes before the event loop handles signals.
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        process.send_signal(SIGTERM)
+        with anyio.fail_after(WAIT_S):
+            assert await process.wait() == 0
+
+    play(tmp_path, act)
+
+
 async def wait_metrics(site):
     """Wait until the event loop runs; the plain loop has no metrics."""
     address = Address("127.0.0.2", site.ports["metrics"])
