Keep copies of a slice that is still on its way to its new owner

Cause: the log of a fresh owner starts again when it learns the incarnation of a peer that it knew by report. Members then dropped all copies of the slices that it owned, those included that they were still handing over, so its next packets reached the default server, which reset them. Seen in make demo: two flows opened at i1 were reset at i4, which had joined; a trace of the dropped copies showed buckets queued for the sender. Change: copies of a bucket with a new owner stay until the handover is over. Operations for a peer whose incarnation was not known are kept when its log starts again. Ruled out: HTTP parser, log calls and sockets of the platform work.

--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -76,6 +76,10 @@
         """Buckets whose exceptions are still to be sent."""
         return len(self._queue)
 
+    def is_moving(self, code: int) -> bool:
+        """Return whether a bucket has a new owner that may lack its exceptions."""
+        return code in self._watched or code in self._queue
+
     def exceptions_ready(self, now: float) -> bool:
         """Return whether a joining instance has its exceptions, or waited 3 s."""
         if self._join_deadline is None:
--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -232,10 +232,16 @@
         return changed
 
     def _forget_exceptions(self, sender: str, now: float) -> None:
-        """Drop the copies of a peer that sends them anew."""
+        """Drop the copies of a peer that sends them anew.
+
+        Copies of a slice that it has just taken over came from the former owner, and
+        it may not have got them yet.
+        """
         for code in list(self._keeper.codes):
             service = self._state.services[code >> 16]
-            if service.slices.owner(code & 0xFFFF) == sender:
+            if service.slices.owner(
+                code & 0xFFFF
+            ) == sender and not self._handover.is_moving(code):
                 self._keeper.drop_bucket(code, now)
 
     def _fill_loads(self, heartbeat: Heartbeat, now: float) -> None:
--- a/src/magnoliaslip/placement/replication.py
+++ b/src/magnoliaslip/placement/replication.py
@@ -188,7 +188,9 @@
         since removals are not part of what the caller adds again.
         """
         kept: list[LogOp] = []
-        if not self._overflowed and incarnation == self.incarnation:
+        # A peer that was only reported by others had no known incarnation.
+        same_peer = self.incarnation in (0, incarnation)
+        if not self._overflowed and same_peer:
             sent = [op for *_, ops in self._in_flight for op in ops if op.key]
             kept = [*sent, *self._exceptions]
         self._next = max(self._next, self.last_sequence + 1)
