Turn to the other server of a flow that both sides of a cut placed

Cause: after a cut heals, the merged owner keeps its own open of a flow and takes back the copies of the other side, whose server the caller has taken. Its server then denies each packet until the settling time is over, and the last denial resets the flow. Change: the owner keeps the other server as a rival; while the slices are not settled, a denial turns the record to the rival. A wrong turn is turned back by the next denial.

--- a/src/magnoliaslip/placement/exceptions.py
+++ b/src/magnoliaslip/placement/exceptions.py
@@ -14,6 +14,7 @@
     FlowRecord,
 )
 from magnoliaslip.placement.replication import LogOp, PeerLog
+from magnoliaslip.placement.rivals import Rivals
 from magnoliaslip.placement.service import CODE_SHIFT, Service, code_bucket
 from magnoliaslip.placement.state import PlacementState
 
@@ -47,6 +48,9 @@
 
     Args:
         state: State of the router.
+
+    Attributes:
+        rivals: Other servers of flows that two owners placed.
     """
 
     __slots__ = (
@@ -57,6 +61,7 @@
         "_state",
         "_taken_back",
         "_unresolved",
+        "rivals",
     )
 
     def __init__(self, state: PlacementState) -> None:
@@ -67,6 +72,7 @@
         self._pending: dict[int, list[tuple[PeerLog | None, LogOp | None, float]]] = {}
         self._unresolved: dict[bytes, _Unresolved] = {}
         self._taken_back: OrderedDict[bytes, float] = OrderedDict()
+        self.rivals = Rivals()
 
     @property
     def codes(self) -> Iterable[int]:
@@ -273,6 +279,7 @@
                 # Owners on two sides of a partition placed the flow; one of them
                 # decides now, and the copies of the other's choice must not be used.
                 self._take_back(service, key, server, now)
+                self.rivals.note(key, number, now)
             return Applied.NOTHING
         if record is not None and not owner and other and _was_accepted(record):
             # The sender was on the other side of a partition when the SYN-ACK passed
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -37,13 +37,14 @@
         opener: Places opens.
     """
 
-    __slots__ = ("_ends", "_forwarder", "_state", "opener")
+    __slots__ = ("_ends", "_forwarder", "_keeper", "_state", "opener")
 
     def __init__(
         self, state: PlacementState, forwarder: Forwarder, keeper: ExceptionKeeper
     ) -> None:
         self._state = state
         self._forwarder = forwarder
+        self._keeper = keeper
         self._ends = FlowEnds(state, keeper)
         self.opener = Opener(state, forwarder, keeper, self._ends)
 
@@ -196,13 +197,14 @@
             # A late refusal of an earlier SYN: only those have sequence number 0.
             self._forwarder.drop(packet, "stale_reset")
             return
-        if (
-            record is not None
-            and not packet.flags & ACK
-            and not record.flags & _DECIDED
-        ):
-            self._disowned(packet, pending, record, now)
-            return
+        settled = self.opener.decider.settled(service, packet.bucket, now)
+        if record is not None and not packet.flags & ACK:
+            if not settled and self._use_rival(packet, record, now):
+                self._forwarder.drop(packet, "uncertain_reset")
+                return
+            if not record.flags & _DECIDED:
+                self._disowned(packet, pending, record, now)
+                return
         # During a partition and just after it, the reset may come from a server that
         # got the packet from the other side.
         certain = (
@@ -210,7 +212,7 @@
             and not record.flags & FlowFlag.GUESSED
             and (packet.flags & ACK or state.hears_all(now))
         )
-        if not certain and not self.opener.decider.settled(service, packet.bucket, now):
+        if not certain and not settled:
             self._forwarder.drop(packet, "uncertain_reset")
             return
         if record is not None:
@@ -226,6 +228,29 @@
             self._ends.end(packet, now)
         self._forwarder.to_caller(packet)
 
+    def _use_rival(self, packet: FlowPacket, record: FlowRecord, now: float) -> bool:
+        """Turn to the other server of a flow that two owners placed.
+
+        The denial may also be one of the other server, for a packet that another
+        member sent there; then the next denial turns back.
+        """
+        service = self._state.services[record.service]
+        number = self._keeper.rivals.swap(packet.key, record.server, now)
+        if number is None:
+            return False
+        state = self._state
+        state.opens.remove(packet.key)
+        service.load.ended(record.server, packet.key)
+        flags = record.flags & FlowFlag.EXCEPTION | FlowFlag.ESTABLISHED
+        state.records.put(
+            packet.key,
+            packet.hash,
+            record._replace(server=number, flags=flags, isn=0),
+        )
+        self._keeper.add(packet.key, packet.hash, service, now, replaces=True)
+        state.epoch += 1
+        return True
+
     def _disowned(
         self,
         packet: FlowPacket,
--- /dev/null
+++ b/tests/placement/test_rivals.py
@@ -0,0 +1,44 @@
+"""Flows that owners on two sides of a partition have placed."""
+
+from magnoliaslip.placement.rivals import MAX_RIVALS, Rivals
+from tests.placement.fleet import Fleet, flow
+
+
+def test_denied_flow_turns_to_the_server_of_the_other_side():
+    # Guards against a reset of an established flow after a partition: the merged owner
+    # kept its own open, which the caller had not taken, and its server denied the flow.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    router = fleet.nodes[owner].router
+    own = fleet.default(key)
+    other = next(name for name in fleet.servers if name != own)
+    fleet.servers[own].mode = "silent"
+    fleet.syn(key, via=owner)
+    fleet.servers[own].mode = "refuse"
+    fleet.servers[other].known.add(key)
+    now = fleet.clock.monotonic()
+    router._state.services[0].slices.restart_settling(now)
+    router._keeper.apply("rota", key, other, now)
+    fleet.run(0.2)
+    for _ in range(3):
+        fleet.say(key)
+        fleet.run(0.2)
+    assert not fleet.was_reset(key)
+    assert other in fleet.answered_by(key)
+
+
+def test_rivals_are_bounded():
+    # Guards against memory that grows with every partition.
+    rivals = Rivals()
+    for number in range(MAX_RIVALS + 1):
+        rivals.note(number.to_bytes(4, "big"), 1, 0.0)
+    assert rivals.swap(bytes(4), 2, 1.0) is None
+    assert rivals.swap((1).to_bytes(4, "big"), 2, 1.0) == 1
+
+
+def test_rival_expires():
+    # Guards against a flow with the same key that is sent to a stranger's server.
+    rivals = Rivals()
+    rivals.note(b"flow", 1, 0.0)
+    assert rivals.swap(b"flow", 2, 31.0) is None
