Open the sockets of an instance before its other modules are imported

Cause: 0.2 s of imports lie between the start of a process and its sockets, and packets that arrive meanwhile are lost; their next copies come 0.2 to 0.4 s later. Change: the addresses of both sockets stand on the command line, so they are opened first; callers' packets and polls wait in them. INSTANCE_STARTED tells how long imports, the first read and the event loop took. Decisions of the start are logged with the time at which they were made; they had the time at which the log was opened.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -72,12 +72,15 @@
         return self.value[2]
 
 
-def log_event(logger: Logger, event: Event, **fields: Any) -> None:
+def log_event(
+    logger: Logger, event: Event, *, at: float | None = None, **fields: Any
+) -> None:
     """Write one event.
 
     Args:
         logger: Logger of the calling module.
         event: The event.
+        at: Unix time of the event in seconds; now when None.
         fields: Values in the order in which they appear in the line.
     """
     if logger.isEnabledFor(event.level):
@@ -87,7 +90,7 @@
             event.number,
             event.name,
             _FieldText(fields),
-            extra={"event": event, "fields": fields},
+            extra={"event": event, "fields": fields, "at": at},
         )
 
 
--- a/src/magnoliaslip/core/json_log.py
+++ b/src/magnoliaslip/core/json_log.py
@@ -3,7 +3,6 @@
 from collections import Counter
 from logging import Handler, Logger, LogRecord, getLogger
 from os import set_blocking, write
-from time import time
 
 from msgspec.json import Encoder
 
@@ -72,7 +71,8 @@
         name = event.name if event else record.name
         if record.levelno < 40 and not self._budget.admits(name):
             return
-        line = {"t": round(time(), 3), "level": record.levelname.lower()}
+        at = getattr(record, "at", None) or record.created
+        line = {"t": round(at, 3), "level": record.levelname.lower()}
         if event is not None:
             line |= {"code": f"MS{event.number}", "event": name, **record.fields}
         else:
--- a/src/magnoliaslip/dataplane/udp.py
+++ b/src/magnoliaslip/dataplane/udp.py
@@ -7,7 +7,11 @@
 from anyio.lowlevel import checkpoint
 
 from magnoliaslip.core.address import Address
-from magnoliaslip.dataplane.udp_socket import receive_batch, receive_batch_from
+from magnoliaslip.dataplane.udp_socket import (
+    BATCH_DATAGRAMS,
+    MAX_DATAGRAM_BYTES,
+    receive_batch,
+)
 
 
 async def read_batches(
@@ -32,3 +36,15 @@
             for payload, source in batch:
                 handle(payload, source)
             await checkpoint()
+
+
+def receive_batch_from(sock: Socket) -> list[tuple[bytes, Address]]:
+    """Return waiting datagrams with their sources, at most `BATCH_DATAGRAMS`."""
+    datagrams: list[tuple[bytes, Address]] = []
+    try:
+        for _ in range(BATCH_DATAGRAMS):
+            payload, source = sock.recvfrom(MAX_DATAGRAM_BYTES)
+            datagrams.append((payload, Address(*source[:2])))
+    except (BlockingIOError, ConnectionRefusedError):
+        pass
+    return datagrams
--- a/src/magnoliaslip/lab/model_loop.py
+++ b/src/magnoliaslip/lab/model_loop.py
@@ -12,7 +12,7 @@
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.history_file import FileRecorder
 from magnoliaslip.core.recorder import NullRecorder, Recorder
-from magnoliaslip.dataplane.udp_socket import receive_batch_from
+from magnoliaslip.dataplane.udp import receive_batch_from
 
 # Also the delay after which a change made by another task is noticed.
 MAX_WAIT_S = 0.02
--- a/src/magnoliaslip/runtime/decision_log.py
+++ b/src/magnoliaslip/runtime/decision_log.py
@@ -22,8 +22,10 @@
     def __init__(self, flow_name: Callable[[bytes], str]) -> None:
         self._flow_name = flow_name
 
-    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+    def note(
+        self, event: str, flow: bytes = b"", *, at: float | None = None, **inputs: Any
+    ) -> None:
         """Write one event."""
         if flow:
             inputs = {"flow": self._flow_name(flow), **inputs}
-        log_event(logger, Event[event], **inputs)
+        log_event(logger, Event[event], at=at, **inputs)
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -31,6 +31,7 @@
 from magnoliaslip.runtime.late_imports import import_metrics_page
 from magnoliaslip.runtime.metrics_page import MetricsPage, Reading
 from magnoliaslip.runtime.settings import SteeringSettings
+from magnoliaslip.runtime.start_times import StartTimes
 from magnoliaslip.steering.decisions import DecisionBuffer
 
 TICK_S = 1.0
@@ -56,6 +57,7 @@
         settings_path: File that is read again on SIGHUP.
         readiness: Listening socket on which the fabric asks for readiness.
         stop_requested: Whether a stop was requested during the start.
+        start_times: Times of the start, for the log.
         clock: Source of time.
         rng: Source of jitter.
     """
@@ -70,6 +72,7 @@
         settings_path: str | PathLike[str],
         readiness: Socket,
         stop_requested: bool = False,
+        start_times: StartTimes | None = None,
         clock: Clock | None = None,
         rng: Random | None = None,
     ) -> None:
@@ -82,6 +85,7 @@
         self._stop = Signal()
         if stop_requested:
             self._stop.set()
+        self._start_times = start_times
         self._metrics = Metrics()
         self._page = MetricsPage(self._read_metrics, self._metrics)
         self._reader = RegistryReader(
@@ -138,8 +142,9 @@
                 Event.INSTANCE_STARTED,
                 id=cfg.id,
                 zone=cfg.zone,
-                data=cfg.packets,
+                data=Address(*self._forwarder.sock.getsockname()[:2]),
                 control=cfg.control,
+                **(self._start_times.fields() if self._start_times else {}),
             )
             self._log_directory()
             await self._stop.wait()
--- a/src/magnoliaslip/runtime/settings.py
+++ b/src/magnoliaslip/runtime/settings.py
@@ -19,7 +19,7 @@
 LOG_LEVELS = ("DEBUG", "INFO", "WARNING", "ERROR")
 DEFAULT_METRICS_PORT = 9464  # registered for exporters of metrics
 
-_REQUIRED = ("id", "zone", "packets", "readiness", "control", "store")
+_REQUIRED = ("id", "zone", "control", "store")
 _OPTIONAL = ("seeds", "metrics_port", "log_level", "log_lines_per_s")
 
 
@@ -29,8 +29,6 @@
     Attributes:
         id: Identifier of the instance, unique in the fleet.
         zone: Its availability zone.
-        packets: Address that takes packets of callers.
-        readiness: Address at which the fabric asks whether the instance is ready.
         control: Address that takes messages of other instances.
         store: Address of the platform's store.
         seeds: Control addresses of some instances, to find the others.
@@ -43,8 +41,6 @@
 
     id: str
     zone: str
-    packets: Address
-    readiness: Address
     control: Address
     store: Address
     seeds: tuple[Address, ...]
@@ -72,8 +68,6 @@
         cfg = cls()
         cfg.id = lines.name("id")
         cfg.zone = lines.name("zone")
-        cfg.packets = lines.address("packets")
-        cfg.readiness = lines.address("readiness")
         cfg.control = lines.address("control")
         cfg.store = lines.address("store")
         cfg.seeds = lines.addresses("seeds")
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -6,22 +6,22 @@
 the event loop takes over sockets, directory and router.
 """
 
+from contextlib import closing
 from os import PathLike
 from signal import SIG_IGN, SIGHUP, SIGTERM, signal
-from socket import create_server
-from socket import socket as Socket  # noqa: N812
 from sys import stderr
 from types import FrameType
 
 from magnoliaslip.core.clock import SystemClock
 from magnoliaslip.core.errors import PlatformError, SettingsError
-from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.registry.source import RegistrySource
 from magnoliaslip.runtime.adapter import PlatformAdapter
 from magnoliaslip.runtime.forwarder import Forwarder
 from magnoliaslip.runtime.late_imports import import_event_loop
+from magnoliaslip.runtime.listeners import Listeners
 from magnoliaslip.runtime.plain_loop import PlainLoop
 from magnoliaslip.runtime.settings import SteeringSettings
+from magnoliaslip.runtime.start_times import StartTimes
 
 EXIT_STOPPED = 0
 EXIT_INVALID_SETTINGS = 1
@@ -49,40 +49,43 @@
         self.noted = True
 
 
-def run_with_settings(path: str | PathLike[str], adapter: PlatformAdapter) -> int:
+def run_with_settings(
+    path: str | PathLike[str], adapter: PlatformAdapter, listeners: Listeners
+) -> int:
     """Run an instance until it is stopped; returns the exit code of the process.
 
     Args:
         path: Settings file, JSON with comments.
         adapter: Translates to and from the platform.
+        listeners: Open sockets; are closed.
     """
+    times = StartTimes(listeners.opened_at)
+    times.note("imported")
     # Settings that change during the start are read by the event loop anyway.
     signal(SIGHUP, SIG_IGN)
     stop = StopRequest()
     signal(SIGTERM, stop.note)
-    try:
-        cfg = SteeringSettings.load(path)
-    except SettingsError as exc:
-        print(exc, file=stderr)
-        return EXIT_INVALID_SETTINGS
-    try:
-        sock = open_udp(cfg.packets)
-        listener = create_server(cfg.readiness)
-    except OSError as exc:
-        print(f"{exc}. Remedy: check the addresses", file=stderr)
-        return EXIT_ADDRESS_IN_USE
-    with sock, listener:
+    with closing(listeners):
+        try:
+            cfg = SteeringSettings.load(path)
+        except SettingsError as exc:
+            print(exc, file=stderr)
+            return EXIT_INVALID_SETTINGS
         forwarder = Forwarder(
             cfg.zone,
-            sock=sock,
-            link=adapter.link(sock),
+            sock=listeners.packets,
+            link=adapter.link(listeners.packets),
             decode=adapter.decode,
             clock=SystemClock(),
         )
         source = adapter.source(cfg.store)
         _read_once(source, forwarder)
-        _forward_during_imports(PlainLoop(forwarder, listener))
-        return _run_event_loop(path, cfg, adapter, source, forwarder, listener, stop)
+        times.note("read")
+        _forward_during_imports(PlainLoop(forwarder, listeners.readiness))
+        times.note("event_loop")
+        return _run_event_loop(
+            path, cfg, adapter, source, forwarder, listeners, stop, times
+        )
 
 
 def _read_once(source: RegistrySource, forwarder: Forwarder) -> None:
@@ -108,8 +111,9 @@
     adapter: PlatformAdapter,
     source: RegistrySource,
     forwarder: Forwarder,
-    listener: Socket,
+    listeners: Listeners,
     stop: StopRequest,
+    times: StartTimes,
 ) -> int:
     from anyio import run
 
@@ -121,8 +125,9 @@
         adapter=adapter,
         source=source,
         settings_path=path,
-        readiness=listener,
+        readiness=listeners.readiness,
         stop_requested=stop.noted,
+        start_times=times,
     )
     code = EXIT_STOPPED
     try:
--- a/src/magnoliaslip/steering/decisions.py
+++ b/src/magnoliaslip/steering/decisions.py
@@ -2,6 +2,7 @@
 
 from abc import ABC, abstractmethod
 from collections import deque
+from time import time
 from typing import Any
 
 MAX_BUFFERED = 500  # decisions of the first half second of an instance
@@ -13,12 +14,15 @@
     __slots__ = ()
 
     @abstractmethod
-    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+    def note(
+        self, event: str, flow: bytes = b"", *, at: float | None = None, **inputs: Any
+    ) -> None:
         """Note one decision; never blocks.
 
         Args:
             event: Name of a log event.
             flow: The flow that it touches; empty when it touches none.
+            at: Unix time of the decision in seconds; now when None.
             inputs: What decided it and the outcome.
         """
 
@@ -33,18 +37,20 @@
     __slots__ = ("_notes", "lost")
 
     def __init__(self) -> None:
-        self._notes: deque[tuple[str, bytes, dict[str, Any]]] = deque()
+        self._notes: deque[tuple[str, bytes, float, dict[str, Any]]] = deque()
         self.lost = 0
 
-    def note(self, event: str, flow: bytes = b"", **inputs: Any) -> None:
+    def note(
+        self, event: str, flow: bytes = b"", *, at: float | None = None, **inputs: Any
+    ) -> None:
         """Keep one decision, or count it as lost."""
         if len(self._notes) < MAX_BUFFERED:
-            self._notes.append((event, flow, inputs))
+            self._notes.append((event, flow, time() if at is None else at, inputs))
         else:
             self.lost += 1
 
     def move_to(self, log: DecisionLog) -> None:
         """Hand all kept decisions to a log."""
         while self._notes:
-            event, flow, inputs = self._notes.popleft()
-            log.note(event, flow, **inputs)
+            event, flow, at, inputs = self._notes.popleft()
+            log.note(event, flow, at=at, **inputs)
--- a/tests/core/test_json_log.py
+++ b/tests/core/test_json_log.py
@@ -81,3 +81,11 @@
     logger, _, source, _ = rig
     log_event(logger, Event.FLOW_PLACED, server="i" * 10_000)
     assert len(read(source, 1 << 20)) == MAX_LINE_BYTES
+
+
+def test_line_of_an_earlier_decision_has_its_time(rig):
+    # Guards against decisions of the start that all seem to be made when the event
+    # loop takes over, seconds later.
+    logger, _, source, _ = rig
+    log_event(logger, Event.FLOW_PLACED, at=1781829614.25, server="i-1")
+    assert lines(source)[0]["t"] == 1781829614.25
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -77,8 +77,6 @@
         settings = {
             "id": host,
             "zone": "a",
-            "packets": f"{host}:{self.ports['packets']}",
-            "readiness": f"{host}:{self.ports['readiness']}",
             "control": f"{host}:{self.ports['control']}",
             "store": str(self.store_address),
             "seeds": [f"127.0.0.2:{self.ports['control']}"],
@@ -91,7 +89,12 @@
     async def start(self, host, **changes):
         path = self.settings(host, **changes)
         return await anyio.open_process(
-            [executable, str(ROOT / "platform/main.py")],
+            [
+                executable,
+                str(ROOT / "platform/main.py"),
+                f"{host}:{self.ports['packets']}",
+                f"{host}:{self.ports['readiness']}",
+            ],
             env={"MAGNOLIASLIP_CONFIG": str(path)},
         )
 
--- a/tests/runtime/test_settings.py
+++ b/tests/runtime/test_settings.py
@@ -14,8 +14,6 @@
 SETTINGS = {
     "id": "i1",
     "zone": "a",
-    "packets": "127.0.0.1:7001",
-    "readiness": "127.0.0.1:7002",
     "control": "127.0.0.1:7003",
     "store": "127.0.0.1:7004",
     "seeds": ["127.0.0.2:7003"],
@@ -28,7 +26,7 @@
 
 def test_settings_are_read():
     cfg = parse(SETTINGS)
-    assert cfg.packets == Address("127.0.0.1", 7001)
+    assert cfg.control == Address("127.0.0.1", 7003)
     assert cfg.seeds == (Address("127.0.0.2", 7003),)
     assert cfg.metrics_port == 9464
 
@@ -39,7 +37,7 @@
         ({"zonee": "a"}, "MS103", "zonee"),
         ({"id": 5}, "MS104", "id"),
         ({"id": ""}, "MS107", "id"),
-        ({"packets": "nowhere"}, "MS107", "packets"),
+        ({"control": "nowhere"}, "MS107", "control"),
         ({"seeds": ["127.0.0.1:1", "x"]}, "MS107", "seeds[1]"),
         ({"seeds": [5]}, "MS107", "seeds[0]"),
         ({"seeds": "x"}, "MS104", "seeds"),
@@ -57,7 +55,7 @@
     assert caught.value.remedy
 
 
-@pytest.mark.parametrize("key", ["id", "zone", "packets", "control", "store"])
+@pytest.mark.parametrize("key", ["id", "zone", "control", "store"])
 def test_missing_key_is_an_error(key):
     with pytest.raises(SettingsError, match="missing"):
         parse({name: value for name, value in SETTINGS.items() if name != key})
