Send a refused caller elsewhere, and count opens as load at once

A refused caller tries again within milliseconds with a new flow, and all its tries went to the same server before the 80 ms were over after which silence counts; a server without requests even attracted them. After a loss of power, what waited comes in bursts, and loads were counted only with the requests, a round trip after the choice. Change: an open avoids the servers that have not answered other opens of its caller, and its first request counts as load when it is placed.

--- a/src/magnoliaslip/steering/flows.py
+++ b/src/magnoliaslip/steering/flows.py
@@ -25,6 +25,7 @@
         server: The server that the flow was last sent to.
         tried: Servers that copies of the opening packet were sent to.
         copy: Number of the last copy of the opening packet.
+        counted: Whether its first request counts as load already.
         established: Whether the caller answered the server's handshake.
         seq: Highest sequence number of data.
         sent_at: Monotonic time in seconds at which that data was first sent.
@@ -37,6 +38,7 @@
     __slots__ = (
         "acked",
         "copy",
+        "counted",
         "established",
         "seen_at",
         "sent_at",
@@ -50,6 +52,7 @@
         self.server: KnownServer | None = None
         self.tried: tuple[KnownServer, ...] = ()
         self.copy = 0
+        self.counted = False
         self.established = False
         self.seq: int | None = None
         self.sent_at = 0.0
--- /dev/null
+++ b/src/magnoliaslip/steering/opens.py
@@ -0,0 +1,87 @@
+"""Opens that a server may still answer in time."""
+
+from collections import deque
+from collections.abc import Iterator
+
+from magnoliaslip.steering.flows import FlowNotes
+from magnoliaslip.steering.servers import KnownServer
+
+# Opens that are judged later at most; an instance under more load than it can read
+# judges the newest ones only.
+MAX_OPENS = 10_000
+
+
+class PendingOpen:
+    """One opening packet that was sent to a server.
+
+    Attributes:
+        sent_at: Monotonic time in seconds.
+        flow: The flow that it opens.
+        caller: Address of the caller, without its port.
+        server: The server.
+    """
+
+    __slots__ = ("caller", "flow", "sent_at", "server")
+
+    def __init__(
+        self, sent_at: float, flow: bytes, caller: bytes, server: KnownServer
+    ) -> None:
+        self.sent_at = sent_at
+        self.flow = flow
+        self.caller = caller
+        self.server = server
+
+    def is_answered(self, flows: FlowNotes) -> bool:
+        """Return whether the caller took the answer, or the flow was forgotten."""
+        note = flows.get(self.flow)
+        return note is None or (note.established and note.server is self.server)
+
+
+class PendingOpens:
+    """Opens in the order in which they were sent, bounded in number.
+
+    Args:
+        flows: Notes that tell which opens were answered.
+    """
+
+    __slots__ = ("_by_caller", "_flows", "_opens")
+
+    def __init__(self, flows: FlowNotes) -> None:
+        self._flows = flows
+        self._opens: deque[PendingOpen] = deque()
+        self._by_caller: dict[bytes, list[PendingOpen]] = {}
+
+    def add(self, now: float, flow: bytes, caller: bytes, server: KnownServer) -> None:
+        """Note an opening packet that was sent."""
+        if len(self._opens) >= MAX_OPENS:
+            self._pop()
+        pending = PendingOpen(now, flow, caller, server)
+        self._opens.append(pending)
+        self._by_caller.setdefault(caller, []).append(pending)
+
+    def tried(self, caller: bytes) -> tuple[KnownServer, ...]:
+        """Return the servers that have not answered other opens of a caller.
+
+        Servers answer callers directly. A caller that was refused tries again at once
+        with a new flow, before the silence of the server can be noticed.
+        """
+        return tuple(
+            pending.server
+            for pending in self._by_caller.get(caller, ())
+            if not pending.is_answered(self._flows)
+        )
+
+    def unanswered(self, *, before: float) -> Iterator[PendingOpen]:
+        """Drop the opens that were sent before a time, and yield the unanswered."""
+        while self._opens and self._opens[0].sent_at < before:
+            pending = self._pop()
+            if not pending.is_answered(self._flows):
+                yield pending
+
+    def _pop(self) -> PendingOpen:
+        pending = self._opens.popleft()
+        others = self._by_caller[pending.caller]
+        others.remove(pending)
+        if not others:
+            del self._by_caller[pending.caller]
+        return pending
--- a/src/magnoliaslip/steering/packet.py
+++ b/src/magnoliaslip/steering/packet.py
@@ -21,6 +21,8 @@
         flow: Addresses and ports of both ends; identifies the flow.
         endpoint: Address and port that the caller sent it to.
         kind: What it does to the flow.
+        caller: Address of the caller, without its port; empty but for an opening
+            packet.
         copy: Number of earlier copies of an opening packet.
         seq: Sequence number of its first byte, 32 bits.
         acked: Next byte that the caller expects, 32 bits; 0 when it opens.
@@ -31,6 +33,7 @@
 
     __slots__ = (
         "acked",
+        "caller",
         "copy",
         "endpoint",
         "flow",
@@ -47,6 +50,7 @@
         endpoint: Endpoint,
         kind: int,
         *,
+        caller: bytes = b"",
         copy: int = 0,
         seq: int = 0,
         acked: int = 0,
@@ -57,6 +61,7 @@
         self.flow = flow
         self.endpoint = endpoint
         self.kind = kind
+        self.caller = caller
         self.copy = copy
         self.seq = seq
         self.acked = acked
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,6 +1,6 @@
 """Decides where each tagged packet goes."""
 
-from collections import Counter, deque
+from collections import Counter
 from collections.abc import Callable
 from typing import Any
 
@@ -12,6 +12,7 @@
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.flows import FlowNote, FlowNotes, is_after
 from magnoliaslip.steering.link import TaggedLink
+from magnoliaslip.steering.opens import PendingOpens
 from magnoliaslip.steering.packet import PacketKind, TaggedPacket
 from magnoliaslip.steering.reachability import OPEN_ANSWER_S
 from magnoliaslip.steering.servers import KnownServer, ServerSet
@@ -23,10 +24,6 @@
 # this time in seconds is a repetition.
 MIN_REPEAT_S = 0.15
 
-# Opens that are judged later at most; an instance under more load than it can read
-# judges the newest ones only.
-MAX_OPENS = 10_000
-
 OPEN = int(PacketKind.OPEN)
 RESET = int(PacketKind.RESET)
 
@@ -83,8 +80,7 @@
         self.instances = 1
         self.flows = FlowNotes()
         self.servers = ServerSet(keep_s=MAX_FLOW_S)
-        # Opens that may still be answered in time, oldest first.
-        self._opens: deque[tuple[float, bytes, KnownServer]] = deque(maxlen=MAX_OPENS)
+        self._opens = PendingOpens(self.flows)
 
     def apply_directory(self, now: float) -> None:
         """Take over what changed in the directory."""
@@ -125,14 +121,12 @@
         Args:
             now: Monotonic time in seconds.
         """
-        while self._opens and self._opens[0][0] < now - OPEN_ANSWER_S:
-            sent_at, flow, known = self._opens.popleft()
-            note = self.flows.get(flow)
-            if note is not None and not (note.established and note.server is known):
-                self.counters["unanswered_opens"] += 1
-                if known.note_unanswered_open(flow, sent_at, now):
-                    self._log_suspect(known, flow, "unanswered open")
-                self._tell_evidence()
+        for pending in self._opens.unanswered(before=now - OPEN_ANSWER_S):
+            self.counters["unanswered_opens"] += 1
+            known, flow = pending.server, pending.flow
+            if known.note_unanswered_open(flow, pending.sent_at, now):
+                self._log_suspect(known, flow, "unanswered open")
+            self._tell_evidence()
 
     def _open(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
@@ -149,11 +143,12 @@
         elif note.server is not None:
             note.tried += (note.server,)
         service = _service(route, packet.flow)
+        tried = note.tried + self._opens.tried(packet.caller)
         known = self._choice.choose(
             self.servers.candidates(service),
             packet.flow,
             now,
-            tried=note.tried,
+            tried=tried,
             cold_opens_per_s=self._cold_share(service),
         )
         note.copy = packet.copy
@@ -172,11 +167,14 @@
             suspect=known.reach.suspect,
             cold=known.cold_until > now,
             copy=packet.copy,
-            tried=[other.server.id for other in note.tried],
+            tried=[other.server.id for other in tried],
             revision=self._directory.revision,
         )
+        # Counted before its request comes, so that a burst of opens is spread.
+        known.requests.add(now)
+        note.counted = True
         known.reach.note_placed(now)
-        self._opens.append((now, packet.flow, known))
+        self._opens.add(now, packet.flow, packet.caller, known)
         self._send(known, packet)
 
     def _forward(self, packet: TaggedPacket, route: ServiceRoute, now: float) -> None:
@@ -236,7 +234,9 @@
             note.sent_at = now
             if not note.waiting_since:
                 note.waiting_since = now
-                known.requests.add(now)
+                if not note.counted:
+                    known.requests.add(now)
+                note.counted = False
         elif packet.seq == note.seq and now - note.sent_at >= MIN_REPEAT_S:
             self.counters["repeated"] += 1
             if known.note_repeat(packet.flow, now):
--- a/tests/steering/rig.py
+++ b/tests/steering/rig.py
@@ -93,8 +93,10 @@
 
     def handle(self, **fields):
         """Handle a packet; returns the servers that it went to."""
+        flow = fields.pop("flow", b"flow")
+        fields.setdefault("caller", flow)
         packet = TaggedPacket(
-            fields.pop("flow", b"flow"),
+            flow,
             fields.pop("endpoint", DESK),
             fields.pop("kind", PacketKind.ACK),
             **fields,
--- a/tests/steering/test_choice.py
+++ b/tests/steering/test_choice.py
@@ -100,3 +100,20 @@
     rig.publish(ServerChange("i-1", server("i-1", draining=True)))
     rig.publish(ServerChange("i-1", None))
     assert rig.open(flow=b"second") is None
+
+
+def test_burst_of_opens_is_spread_before_their_requests_come():
+    # Guards against servers that are flooded after a loss of power: what waited comes
+    # in one burst, and loads were counted only with the requests, a round trip later.
+    rig = Rig(*(server(f"i-{n}") for n in range(1, 5)))
+    chosen = Counter(rig.open(bytes([n])) for n in range(40))
+    assert max(chosen.values()) <= 11
+
+
+def test_request_is_counted_once():
+    # Guards against loads that count a flow's first request at its open and again.
+    rig = Rig(server("i-1"))
+    (known,) = rig.router.servers
+    rig.open()
+    rig.handle(tag=known.tag, seq=1, size=10)
+    assert round(known.requests.per_s(rig.now)) == 1
--- /dev/null
+++ b/tests/steering/test_opens.py
@@ -0,0 +1,45 @@
+"""Guards against a refused caller that is sent to the same server again."""
+
+from magnoliaslip.steering import opens
+from magnoliaslip.steering.flows import FlowNotes
+from magnoliaslip.steering.opens import PendingOpens
+from magnoliaslip.steering.packet import PacketKind
+from tests.steering.rig import START, Rig, server
+
+
+def test_refused_caller_gets_another_server_with_its_next_flow():
+    # A server that ended refuses at once; a caller spent all its tries on it within
+    # the 80 ms after which its silence was noticed.
+    rig = Rig(server("i-1"), server("i-2"), server("i-3"))
+    chosen = []
+    for number in range(3):
+        (name,) = rig.handle(
+            flow=bytes([number]), kind=PacketKind.OPEN, caller=b"caller"
+        )
+        chosen.append(name)
+        rig.now += 0.005
+    assert sorted(chosen) == ["i-1", "i-2", "i-3"]
+
+
+def test_answered_open_keeps_nobody_from_a_server():
+    # Guards against flows of one caller that are driven away from near servers.
+    rig = Rig(server("i-1"), server("i-2", zone="b"))
+    rig.handle(flow=b"1", kind=PacketKind.OPEN, caller=b"caller")
+    assert len(rig.router._opens.tried(b"caller")) == 1
+    rig.handle(flow=b"1", tag=rig.tag("i-1"))
+    assert rig.router._opens.tried(b"caller") == ()
+
+
+def test_pending_opens_are_bounded(monkeypatch):
+    # Guards against memory that grows while callers press.
+    monkeypatch.setattr(opens, "MAX_OPENS", 3)
+    rig = Rig(server("i-1"))
+    known = next(iter(rig.router.servers))
+    flows = FlowNotes()
+    pending = PendingOpens(flows)
+    for number in range(5):
+        flows.create(bytes([number]), START)
+        pending.add(START + number, bytes([number]), b"caller", known)
+    assert len(pending.tried(b"caller")) == 3
+    assert [each.flow[0] for each in pending.unanswered(before=START + 9)] == [2, 3, 4]
+    assert pending.tried(b"caller") == ()
