Let operators check and ask instances that steer by server tags

Change: steering check, status and explain; an instance answers on its control address with its directory, the store, other instances and servers, each with since when. Shown by: tests of each belief, of the commands and their exit codes, and of a running instance that is asked by the commands.

--- /dev/null
+++ b/src/magnoliaslip/ops/steering_client.py
@@ -0,0 +1,74 @@
+"""Questions to running instances that steer by server tags."""
+
+from typing import TypeVar
+from urllib.parse import urlencode
+
+from anyio import fail_after
+from msgspec import DecodeError, ValidationError
+from msgspec.json import Decoder
+
+from magnoliaslip.config.http_client import http_get
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.errors import PeerError
+from magnoliaslip.core.http_exchange import HttpProtocolError
+from magnoliaslip.runtime.status import FlowExplanation, SteeringStatus
+
+MAX_ANSWER_BYTES = 64 << 20  # 110,000 servers at 200 bytes
+
+_STATUS = Decoder(SteeringStatus)
+_EXPLANATION = Decoder(FlowExplanation)
+
+T = TypeVar("T")
+
+
+class SteeringClient:
+    """Asks one instance.
+
+    Args:
+        address: Control address of the instance.
+        timeout_s: Time in seconds for one question.
+    """
+
+    __slots__ = ("_address", "_timeout_s")
+
+    def __init__(self, address: Address, *, timeout_s: float) -> None:
+        self._address = address
+        self._timeout_s = timeout_s
+
+    async def status(self) -> SteeringStatus:
+        """Return the state of the instance.
+
+        Raises:
+            PeerError: The instance does not answer, or refuses to.
+        """
+        return await self._ask("/v1/status", _STATUS)
+
+    async def explain(self, caller: Address, endpoint: Address) -> FlowExplanation:
+        """Return where packets of a flow go.
+
+        Raises:
+            PeerError: The instance does not answer, or refuses to.
+        """
+        query = urlencode({"caller": caller, "endpoint": endpoint})
+        return await self._ask(f"/v1/explain?{query}", _EXPLANATION)
+
+    async def _ask(self, target: str, decoder: Decoder[T]) -> T:
+        try:
+            with fail_after(self._timeout_s):
+                answer = await http_get(
+                    self._address, target, max_body_bytes=MAX_ANSWER_BYTES
+                )
+            if answer.status != 200:
+                raise self._error(f"status {answer.status}: {answer.body.decode()}")
+            return decoder.decode(bytes(answer.body))
+        except TimeoutError as exc:
+            raise self._error(f"no answer in {self._timeout_s:g} s") from exc
+        except (OSError, HttpProtocolError, DecodeError, ValidationError) as exc:
+            raise self._error(str(exc) or type(exc).__name__) from exc
+
+    def _error(self, message: str) -> PeerError:
+        return PeerError(
+            message,
+            place=f"instance at {self._address}",
+            remedy="check that it runs and that this is its control address",
+        )
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
+from time import time
 
 from anyio import sleep
 
@@ -41,6 +42,10 @@
         rng: Source of the jitter of pauses.
         watches: Returns whether this instance watches; it does by default. Others
             learn of changes from those that do.
+
+    Attributes:
+        state_since: Unix time in seconds since which the store has answered, or has
+            not.
     """
 
     __slots__ = (
@@ -51,6 +56,7 @@
         "_rng",
         "_source",
         "_watches",
+        "state_since",
     )
 
     def __init__(
@@ -69,6 +75,7 @@
         self._watches = watches
         self._backoff = FIRST_BACKOFF_S
         self._down = False
+        self.state_since = time()
 
     @property
     def answers(self) -> bool:
@@ -122,11 +129,13 @@
         self._backoff = FIRST_BACKOFF_S
         if self._down:
             self._down = False
+            self.state_since = time()
             log_event(logger, Event.PLATFORM_UP, revision=self._directory.revision)
 
     async def _pause(self, exc: PlatformError) -> None:
         if not self._down:
             self._down = True
+            self.state_since = time()
             log_event(logger, Event.PLATFORM_DOWN, error=exc)
         await sleep(self._backoff * self._rng.uniform(0.5, 1.0))
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
--- a/src/magnoliaslip/runtime/adapter.py
+++ b/src/magnoliaslip/runtime/adapter.py
@@ -30,6 +30,10 @@
     def flow_name(self, flow: bytes) -> str:
         """Return the addresses of a flow as text, the caller's first."""
 
+    @abstractmethod
+    def flow_key(self, caller: SocketAddress, endpoint: SocketAddress) -> bytes:
+        """Return what identifies the flow between two addresses with ports."""
+
     @abstractmethod
     def decode(self, datagram: bytes) -> TaggedPacket:
         """Decode a packet of a caller.
--- /dev/null
+++ b/src/magnoliaslip/runtime/explaining.py
@@ -0,0 +1,159 @@
+"""Builds the answers of an instance to the questions of operators.
+
+Imported with the first question; a start needs none of it.
+"""
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import Clock
+from magnoliaslip.gossip.peers import PeerTable
+from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import Endpoint
+from magnoliaslip.runtime.status import FlowExplanation, InstanceBelief, ServerBelief
+from magnoliaslip.steering.router import TagRouter
+from magnoliaslip.steering.servers import KnownServer
+
+
+class Beliefs:
+    """Beliefs of an instance with Unix times.
+
+    Args:
+        router: Decides where packets go.
+        directory: Routes, servers and zones as published.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_clock", "_directory", "_now", "_router")
+
+    def __init__(
+        self, router: TagRouter, *, directory: Directory, clock: Clock
+    ) -> None:
+        self._router = router
+        self._directory = directory
+        self._clock = clock
+        self._now = clock.monotonic()
+
+    def servers(self) -> list[ServerBelief]:
+        """Return what is believed of every server, by service and identifier."""
+        beliefs = [self._server(known) for known in self._router.servers]
+        return sorted(beliefs, key=lambda belief: (belief.service, belief.id))
+
+    def instances(self, peers: PeerTable) -> list[InstanceBelief]:
+        """Return what is believed of the other instances, by address."""
+        return sorted(
+            (
+                InstanceBelief(
+                    host=peer.host,
+                    zone=peer.digest.zone if peer.digest else "",
+                    live=peer.is_live(self._now),
+                    heard_at=self._unix(peer.heard_at) if peer.digest else 0.0,
+                )
+                for peer in peers
+            ),
+            key=lambda belief: belief.host,
+        )
+
+    def explain(self, instance: str, flow: bytes, endpoint: Address) -> FlowExplanation:
+        """Explain where packets of a flow go.
+
+        Args:
+            instance: Identifier of this instance.
+            flow: Identifies the flow.
+            endpoint: Address and port that its caller sends to.
+        """
+        table = self._directory.table
+        answer = FlowExplanation(
+            id=instance,
+            revision=self._directory.revision,
+            routes_version=table.version if table else 0,
+            steps=[],
+        )
+        self._explain_note(answer, flow)
+        route = table.routes.get(_route_key(endpoint)) if table else None
+        if route is None:
+            known = "no routes are known" if table is None else "no route names it"
+            answer.steps.append(f"{known}: an open is reset, other packets are dropped")
+            return answer
+        answer.service = self._router.service_of(route, flow)
+        answer.steps.append(f"the route leads to service {answer.service}")
+        answer.servers = [
+            belief for belief in self.servers() if belief.service == answer.service
+        ]
+        for belief in answer.servers:
+            if belief.state != "serving":
+                answer.steps.append(f"{belief.id} gets no new flow: {_why_not(belief)}")
+        chosen = self._router.preview(answer.service, flow, self._now)
+        if chosen is None:
+            answer.steps.append("no server is left: an open is dropped")
+        else:
+            answer.server = chosen.server.id
+            near = "of the own zone, " if self._is_near(chosen) else ""
+            answer.steps.append(
+                f"a new flow goes to {answer.server}: {near}load "
+                f"{chosen.load(self._now):.2f} requests per second and slot"
+            )
+        return answer
+
+    def _explain_note(self, answer: FlowExplanation, flow: bytes) -> None:
+        note = self._router.flows.get(flow)
+        if note is None or note.server is None:
+            answer.steps.append("the flow is not remembered: its packets name a server")
+            return
+        answer.remembered = note.server.server.id
+        answer.established = note.established
+        if note.waiting_since:
+            answer.waiting_s = round(self._now - note.waiting_since, 3)
+        state = "is established at" if note.established else "was last sent to"
+        answer.steps.append(f"the flow {state} {answer.remembered}")
+        if answer.waiting_s:
+            answer.steps.append(f"a request has had no answer for {answer.waiting_s} s")
+
+    def _server(self, known: KnownServer) -> ServerBelief:
+        server, now = known.server, self._now
+        belief = ServerBelief(
+            id=server.id,
+            service=server.service,
+            zone=server.zone,
+            state="serving",
+            load=round(known.load(now), 2),
+            cold_s=round(max(0.0, known.cold_until - now), 1),
+        )
+        if not known.registered:
+            belief.state, belief.since = "left", self._unix(known.left_at)
+        elif server.draining:
+            belief.state = "draining"
+        elif server.zone in self._directory.zones_out:
+            belief.state = "out"
+        elif not known.admits(now):
+            belief.state = "suspect"
+            if known.reach.suspect:
+                belief.suspected_by = "own"
+                belief.since = self._unix(known.reach.suspect_since)
+            else:
+                belief.suspected_by = "instances" if known.peers_suspect else "zone"
+        return belief
+
+    def _is_near(self, known: KnownServer) -> bool:
+        return known.server.zone == self._router.zone
+
+    def _unix(self, moment: float) -> float:
+        return round(self._clock.wall() - (self._now - moment), 3)
+
+
+def _route_key(address: Address) -> Endpoint:
+    """Return an address as routes have it.
+
+    Raises:
+        ValueError: The address is not IPv4.
+    """
+    parts = address.host.split(".")
+    if len(parts) != 4:
+        raise ValueError(f"{address} is not an IPv4 address")
+    return int.from_bytes(bytes(map(int, parts)), "big"), address.port
+
+
+def _why_not(belief: ServerBelief) -> str:
+    if belief.state == "suspect":
+        return f"suspect by the evidence of {belief.suspected_by}"
+    if belief.state == "out":
+        return f"zone {belief.zone} is out of service"
+    return {"left": "it left the store", "draining": "it drains"}[belief.state]
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -6,10 +6,12 @@
 from random import Random
 from signal import SIGHUP, SIGINT, SIGTERM
 from socket import socket as Socket  # noqa: N812
+from typing import TYPE_CHECKING
 
 from anyio import Event as Signal
 from anyio import create_task_group, open_signal_receiver, sleep
 from anyio.lowlevel import checkpoint
+from msgspec import Struct
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
@@ -34,11 +36,16 @@
 from magnoliaslip.runtime.start_times import StartTimes
 from magnoliaslip.steering.decisions import DecisionBuffer
 
+if TYPE_CHECKING:
+    from magnoliaslip.runtime.explaining import Beliefs
+
 TICK_S = 1.0
 # After a stop was requested, the fabric needs two failed polls of 0.5 s to take the
 # instance out of rotation; packets are forwarded for this long, in seconds.
 LINGER_S = 1.5
 METRICS_PATH = "/metrics"
+STATUS_PATH = "/v1/status"
+EXPLAIN_PATH = "/v1/explain"
 METRICS_TYPE = "text/plain; version=0.0.4"
 STDOUT = 1
 MICROSECONDS = 1e6
@@ -86,6 +93,7 @@
         if stop_requested:
             self._stop.set()
         self._start_times = start_times
+        self._changed_at = self._clock.wall()
         self._metrics = Metrics()
         self._page = MetricsPage(self._read_metrics, self._metrics)
         self._reader = RegistryReader(
@@ -132,7 +140,7 @@
             tasks.start_soon(self._reader.run)
             tasks.start_soon(serve_http, self._readiness, self._answer_readiness)
             tasks.start_soon(catch_up.run)
-            tasks.start_soon(serve_http, cfg.control, self._answer_peer)
+            tasks.start_soon(serve_http, cfg.control, self._answer_control)
             tasks.start_soon(self._gossip.receive)
             tasks.start_soon(self._gossip.send_periodically)
             tasks.start_soon(serve_http, metrics, self._answer_metrics)
@@ -179,6 +187,7 @@
 
     def _apply_directory(self) -> None:
         self._forwarder.apply_directory()
+        self._changed_at = self._clock.wall()
         if self._watches():
             self._gossip.announce()
         self._log_directory()
@@ -203,7 +212,11 @@
             return HttpAnswer(404)
         return HttpAnswer(200 if self._ready else 503)
 
-    async def _answer_peer(self, req: HttpRequest) -> HttpAnswer:
+    async def _answer_control(self, req: HttpRequest) -> HttpAnswer:
+        if req.path == STATUS_PATH:
+            return HttpAnswer.json(self._status())
+        if req.path == EXPLAIN_PATH:
+            return HttpAnswer.json(self._explain(req))
         if req.path != SNAPSHOT_PATH:
             return HttpAnswer(404)
         if not self._forwarder.directory.ready:
@@ -212,6 +225,44 @@
         data = encode_snapshot(self._forwarder.directory, after=after)
         return HttpAnswer(200, data)
 
+    def _status(self) -> Struct:
+        # Imported here, as most instances are never asked.
+        from magnoliaslip.runtime.status import SteeringStatus
+
+        beliefs = self._beliefs()
+        directory = self._forwarder.directory
+        return SteeringStatus(
+            id=self._cfg.id,
+            zone=self._cfg.zone,
+            ready=self._ready,
+            revision=directory.revision,
+            changed_at=self._changed_at,
+            routes_version=directory.table.version if directory.table else 0,
+            zones_out=sorted(directory.zones_out),
+            store_answers=self._reader.answers,
+            store_since=self._reader.state_since,
+            watches_store=self._watches(),
+            flows=len(self._forwarder.router.flows),
+            instances=beliefs.instances(self._gossip.peers),
+            servers=beliefs.servers(),
+        )
+
+    def _explain(self, req: HttpRequest) -> Struct:
+        """Answer a question; a ValueError or KeyError is answered with status 400."""
+        caller = Address.parse(req.query["caller"])
+        endpoint = Address.parse(req.query["endpoint"])
+        flow = self._adapter.flow_key(caller, endpoint)
+        return self._beliefs().explain(self._cfg.id, flow, endpoint)
+
+    def _beliefs(self) -> "Beliefs":
+        from magnoliaslip.runtime.explaining import Beliefs
+
+        return Beliefs(
+            self._forwarder.router,
+            directory=self._forwarder.directory,
+            clock=self._clock,
+        )
+
     async def _answer_metrics(self, req: HttpRequest) -> HttpAnswer:
         if req.path != METRICS_PATH:
             return HttpAnswer(404)
--- a/src/magnoliaslip/steering/choice.py
+++ b/src/magnoliaslip/steering/choice.py
@@ -33,6 +33,7 @@
         *,
         tried: Collection[KnownServer] = (),
         cold_opens_per_s: float = 0.0,
+        takes_budget: bool = True,
     ) -> KnownServer | None:
         """Choose a server, or None when there is no candidate.
 
@@ -46,6 +47,7 @@
             tried: Servers that did not answer this flow.
             cold_opens_per_s: New flows per second that this instance may place on a
                 cold server; 0 when no limit is stated.
+            takes_budget: Whether the flow is placed, so that it counts.
         """
         candidates = [known for known in candidates if known.is_listed(now)]
         usable = (
@@ -65,7 +67,8 @@
         if not usable:
             return None
         chosen = self._least_loaded(usable, flow, now)
-        chosen.warm_up.take()
+        if takes_budget:
+            chosen.warm_up.take()
         return chosen
 
     def _least_loaded(
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -32,6 +32,7 @@
 
     Attributes:
         suspect: Whether new flows avoid it.
+        suspect_since: Monotonic time in seconds at which it became suspect.
         peers_silent: Flows without an answer that other instances see.
     """
 
@@ -43,6 +44,7 @@
         "_unanswered",
         "peers_silent",
         "suspect",
+        "suspect_since",
     )
 
     def __init__(self) -> None:
@@ -52,6 +54,7 @@
         self._repeat_at = float("-inf")
         self._trial_at = 0.0
         self.suspect = False
+        self.suspect_since = 0.0
         self.peers_silent = 0
 
     def note_progress(self, now: float) -> bool:
@@ -120,6 +123,7 @@
         if self.suspect:
             return False
         self.suspect = True
+        self.suspect_since = now
         self._trial_at = now + TRIAL_S
         return True
 
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -42,6 +42,7 @@
         log: Receives each decision.
 
     Attributes:
+        zone: Availability zone of this instance.
         instances: Instances that share the budgets of cold servers, this one included.
         observe: Called with the name of a histogram and a time in seconds.
         on_evidence: Called when a packet stayed unanswered.
@@ -59,6 +60,7 @@
         "observe",
         "on_evidence",
         "servers",
+        "zone",
     )
 
     def __init__(
@@ -70,6 +72,7 @@
         counters: Counter[str],
         log: DecisionLog,
     ) -> None:
+        self.zone = zone
         self._directory = directory
         self._link = link
         self._choice = ServerChoice(zone)
@@ -112,6 +115,12 @@
         else:
             self._forward(packet, route, now)
 
+    def preview(self, service: str, flow: bytes, now: float) -> KnownServer | None:
+        """Return the server that a new flow would get, without placing it."""
+        return self._choice.choose(
+            self.servers.candidates(service), flow, now, takes_budget=False
+        )
+
     def note_drained(self, now: float) -> None:
         """Conclude from opens that were not answered in time.
 
@@ -128,6 +137,19 @@
                 self._log_suspect(known, flow, "unanswered open")
             self._tell_evidence()
 
+    @staticmethod
+    def service_of(route: ServiceRoute, flow: bytes) -> str:
+        """Return the service of a new flow; every copy gets the same one."""
+        targets = route.targets
+        if len(targets) == 1:
+            return targets[0].service
+        point = xxh32_intdigest(flow) / 2**32 * sum(t.weight for t in targets)
+        for target in targets:
+            point -= target.weight
+            if point < 0:
+                return target.service
+        return targets[-1].service
+
     def _open(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
     ) -> None:
@@ -142,7 +164,7 @@
             return
         elif note.server is not None:
             note.tried += (note.server,)
-        service = _service(route, packet.flow)
+        service = self.service_of(route, packet.flow)
         tried = note.tried + self._opens.tried(packet.caller)
         known = self._choice.choose(
             self.servers.candidates(service),
@@ -295,16 +317,3 @@
     def _send(self, known: KnownServer, packet: TaggedPacket) -> None:
         self.counters["forwarded"] += 1
         self._link.send_to_server(known.server, packet, known.tag)
-
-
-def _service(route: ServiceRoute, flow: bytes) -> str:
-    """Return the service of a new flow; every copy gets the same one."""
-    targets = route.targets
-    if len(targets) == 1:
-        return targets[0].service
-    point = xxh32_intdigest(flow) / 2**32 * sum(target.weight for target in targets)
-    for target in targets:
-        point -= target.weight
-        if point < 0:
-            return target.service
-    return targets[-1].service
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -237,3 +237,29 @@
             assert b"Remedy: " in await process.stderr.receive()
 
     play(tmp_path, act)
+
+
+def test_operator_sees_what_a_running_instance_believes(tmp_path):
+    async def act(site):
+        await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        control = f"127.0.0.2:{site.ports['control']}"
+        await wait_metrics(site)
+        output = await run_ops("status", control)
+        assert "zone a, ready" in output and "i-5c" in output
+        output = await run_ops(
+            "explain", "127.0.0.9:4001", "198.18.0.1:443", "--instance", control
+        )
+        assert "a new flow goes to i-5c" in output
+        output = await run_ops("check", str(tmp_path / "127.0.0.2.jsonc"))
+        assert "valid" in output
+
+    play(tmp_path, act)
+
+
+async def run_ops(*args):
+    done = await anyio.run_process(
+        [executable, "-m", "magnoliaslip.ops", "steering", *args], check=False
+    )
+    assert done.returncode == 0, done.stderr
+    return done.stdout.decode()
--- /dev/null
+++ b/tests/runtime/test_explaining.py
@@ -0,0 +1,108 @@
+"""Guards against operators who are told something else than what packets meet."""
+
+import pytest
+
+from magnoliaslip.core.address import Address
+from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.gossip.digest import FORMAT, Digest
+from magnoliaslip.gossip.peers import PeerTable
+from magnoliaslip.registry.source import ServerChange, ZoneChange
+from magnoliaslip.runtime.explaining import Beliefs
+from magnoliaslip.steering.reachability import OPEN_ANSWER_S
+from tests.steering.rig import DESK, START, Rig, server
+
+ENDPOINT = Address("198.18.0.1", 443)
+UNIX = 1.7e9
+
+
+def beliefs(rig):
+    clock = ManualClock(start=rig.now, wall_offset=UNIX)
+    return Beliefs(rig.router, directory=rig.directory, clock=clock)
+
+
+def states(rig):
+    return {belief.id: belief.state for belief in beliefs(rig).servers()}
+
+
+def test_each_server_has_its_state():
+    rig = Rig(server("i-1"), server("i-2"), server("i-3", zone="b"), server("i-4"))
+    rig.publish(ServerChange("i-2", server("i-2", draining=True)))
+    rig.publish(ZoneChange("b", out=True), ServerChange("i-4", None))
+    assert states(rig) == {
+        "i-1": "serving",
+        "i-2": "draining",
+        "i-3": "out",
+        "i-4": "left",
+    }
+
+
+def test_suspicion_has_its_time_and_its_source():
+    rig = Rig(server("i-1"))
+    rig.open()
+    rig.now += OPEN_ANSWER_S + 0.01
+    rig.router.note_drained(rig.now)
+    suspected = rig.now
+    rig.now += 1.0
+    (belief,) = beliefs(rig).servers()
+    assert (belief.state, belief.suspected_by) == ("suspect", "own")
+    assert belief.since == pytest.approx(suspected + UNIX)
+
+
+def test_explanation_names_the_server_that_an_open_gets():
+    rig = Rig(server("i-1"), server("i-2", zone="b"), server("i-3", draining=True))
+    answer = beliefs(rig).explain("i1", b"flow", ENDPOINT)
+    assert answer.service == "desk"
+    assert answer.server == "i-1" == rig.open()
+    assert "i-3 gets no new flow: it drains" in answer.steps
+    assert {belief.id for belief in answer.servers} == {"i-1", "i-2", "i-3"}
+
+
+def test_explanation_of_a_flow_that_waits():
+    rig = Rig(server("i-1"))
+    rig.open()
+    rig.handle(tag=rig.tag("i-1"), seq=1, size=10)
+    rig.now += 0.5
+    answer = beliefs(rig).explain("i1", b"flow", ENDPOINT)
+    assert (answer.remembered, answer.established) == ("i-1", True)
+    assert answer.waiting_s == 0.5
+
+
+def test_question_places_no_flow():
+    # Guards against questions that use up what a cold server bears.
+    rig = Rig(server("i-1", cold_ms=60_000))
+    (known,) = rig.router.servers
+    before = known.warm_up.available(rig.now, 1.0), known.load(rig.now)
+    for _ in range(20):
+        beliefs(rig).explain("i1", b"flow", ENDPOINT)
+    assert (known.warm_up.available(rig.now, 1.0), known.load(rig.now)) == before
+    assert rig.router.flows.get(b"flow") is None
+
+
+def test_endpoint_without_a_route():
+    rig = Rig(server("i-1"))
+    answer = beliefs(rig).explain("i1", b"flow", Address("198.18.0.9", 1))
+    assert not answer.service and "an open is reset" in answer.steps[-1]
+
+
+def test_endpoint_that_is_not_ipv4_is_an_error():
+    rig = Rig(server("i-1"))
+    with pytest.raises(ValueError, match="IPv4"):
+        beliefs(rig).explain("i1", b"flow", Address("::1", 1))
+
+
+def test_instances_have_the_time_at_which_they_were_heard():
+    rig = Rig(server("i-1"))
+    peers = PeerTable("10.0.0.1")
+    peers.name("10.0.0.2", START)
+    peers.hear("10.0.0.3", Digest(FORMAT, "b", 1, 5, 1, False), START)
+    rig.now += 1.0
+    silent, heard = beliefs(rig).instances(peers)
+    assert (silent.host, silent.live, silent.heard_at) == ("10.0.0.2", False, 0.0)
+    assert (heard.zone, heard.live) == ("b", True)
+    assert heard.heard_at == pytest.approx(START + UNIX)
+
+
+def test_endpoint_of_a_route_is_found():
+    rig = Rig(server("i-1"))
+    assert DESK in rig.directory.table.routes
+    assert beliefs(rig).explain("i1", b"flow", ENDPOINT).service == "desk"
