Read changes that come in bursts with one call

Change: after an answer with changes, the next watch waits 0.3 s. STORE_WATCHED logs when an instance begins or ends to watch.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -48,6 +48,7 @@
     PLATFORM_DOWN = (600, WARNING, "the platform does not answer")
     PLATFORM_UP = (601, INFO, "the platform answers again")
     HISTORY_LOST = (602, WARNING, "the platform dropped changes; all is listed again")
+    STORE_WATCHED = (603, INFO, "the instance begins or ends to watch the platform")
     SERVER_COLD = (700, INFO, "a backend server is in slow start")
     SERVER_REFUSING = (701, WARNING, "a backend server refused or ignored an open")
     SERVER_ACCEPTING = (702, INFO, "a backend server accepts opens again")
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -21,6 +21,10 @@
 # A watch is renewed after this time in seconds; until then a connection that went
 # silent is not noticed.
 WATCH_S = 2.0
+# Changes come in bursts: servers register, are replaced or leave together. After an
+# answer with changes, the next watch waits for this time in seconds, a tenth of the
+# time in which a change must be in force (platform: 3 s).
+BURST_S = 0.3
 # An instance that does not watch asks the store itself after this time in seconds.
 REST_S = 10.0
 # Time in seconds after which it looks whether it has to watch again.
@@ -44,6 +48,7 @@
             learn of changes from those that do.
 
     Attributes:
+        calls: Calls to the store.
         state_since: Unix time in seconds since which the store has answered, or has
             not.
     """
@@ -56,6 +61,8 @@
         "_rng",
         "_source",
         "_watches",
+        "_watching",
+        "calls",
         "state_since",
     )
 
@@ -75,6 +82,8 @@
         self._watches = watches
         self._backoff = FIRST_BACKOFF_S
         self._down = False
+        self._watching = False
+        self.calls = 0
         self.state_since = time()
 
     @property
@@ -100,6 +109,7 @@
                 await self._pause(exc)
 
     async def _list(self) -> bool:
+        self.calls += 1
         changes = await self._source.list()
         _log_unreadable(changes)
         if not self._directory.replace(changes):
@@ -113,17 +123,27 @@
     async def _rest(self) -> None:
         """Leave the store to others, as long as they watch it."""
         for _ in range(round(REST_S / REST_STEP_S)):
-            if self._watches():
+            if self._note_watching():
                 return
             await sleep(REST_STEP_S)
 
+    def _note_watching(self) -> bool:
+        """Return whether this instance watches the store; logs each change."""
+        watches = self._watches()
+        if watches != self._watching:
+            self._watching = watches
+            log_event(logger, Event.STORE_WATCHED, watches=watches, calls=self.calls)
+        return watches
+
     async def _follow(self) -> None:
+        self.calls += 1
         changes = await self._source.watch(
             after=self._directory.revision, wait_s=WATCH_S
         )
         _log_unreadable(changes)
         if self._directory.apply(changes) and changes.changes:
             self._on_change()
+            await sleep(BURST_S)
 
     def _note_answer(self) -> None:
         self._backoff = FIRST_BACKOFF_S
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -1,12 +1,13 @@
 """Guards against a reader that stops, goes back or misses changes."""
 
+from itertools import pairwise
 from random import Random
 
 import anyio
 
 from magnoliaslip.core.errors import PlatformError
 from magnoliaslip.registry.directory import Directory
-from magnoliaslip.registry.reader import RegistryReader
+from magnoliaslip.registry.reader import BURST_S, RegistryReader
 from magnoliaslip.registry.source import (
     Changes,
     HistoryLostError,
@@ -104,3 +105,27 @@
     )
     assert set(directory.servers) == {"i-3"}
     assert directory.revision == 7
+
+
+def test_changes_that_come_in_a_burst_are_read_together():
+    # Guards against a call to the store for each of the servers that are replaced.
+    source, directory = ScriptedSource(), Directory()
+    directory.apply(Changes(1, (add("i-0"),)))
+    moments = []
+
+    async def watch(*, after, wait_s):
+        moments.append(anyio.current_time())
+        await anyio.sleep(0.01)
+        return Changes(after + 1, (add(f"i-{after}"),))
+
+    async def main():
+        source.watch = watch
+        reader = RegistryReader(
+            source, directory, on_change=lambda: None, rng=Random(1)
+        )
+        with anyio.move_on_after(1.0):
+            await reader.run()
+
+    anyio.run(main)
+    assert len(moments) <= 4
+    assert all(b - a >= BURST_S for a, b in pairwise(moments))
