--- a/src/magnoliaslip/bench/__main__.py
+++ b/src/magnoliaslip/bench/__main__.py
@@ -18,6 +18,7 @@
     "news": "magnoliaslip.bench.news:measure_spread",
     "resident": "magnoliaslip.bench.resident:measure_resident",
     "start": "magnoliaslip.bench.start:measure_start",
+    "log_lines": "magnoliaslip.bench.log_lines:measure_log_lines",
 }
 
 
--- /dev/null
+++ b/src/magnoliaslip/bench/log_lines.py
@@ -0,0 +1,67 @@
+"""Processor time of a log line of an instance."""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from logging import INFO, NOTSET, Logger, disable, getLogger, root
+from os import O_WRONLY, close, devnull
+from os import open as open_fd
+from time import process_time
+
+from magnoliaslip.bench.report import Figure
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.events import Event, log_event
+from magnoliaslip.core.json_log import JsonLineHandler, LineBudget
+
+LINES = 5_000
+REPETITIONS = 5
+# Inputs of a usual decision.
+FIELDS = {
+    "flow": "100.64.0.7:40001>198.18.0.1:443",
+    "service": "kit-desk",
+    "server": "i-7f3a91c2",
+    "server_zone": "a",
+    "load": 1.25,
+    "suspect": False,
+    "cold": False,
+    "copy": 0,
+    "tried": [],
+    "revision": 4711,
+}
+
+
+def measure_log_lines() -> list[Figure]:
+    """Measure a line that is written, and one that the budget leaves out."""
+    return [
+        _measure("written", lines_per_s=10**9),
+        _measure("left_out", lines_per_s=1),
+    ]
+
+
+def _measure(case: str, *, lines_per_s: int) -> Figure:
+    values = []
+    with _logger(lines_per_s) as logger:
+        for _ in range(REPETITIONS):
+            started = process_time()
+            for _ in range(LINES):
+                log_event(logger, Event.FLOW_PLACED, **FIELDS)
+            values.append((process_time() - started) / LINES * 1e6)
+    return Figure.of(f"log_line_cpu/{case}", values, "us")
+
+
+@contextmanager
+def _logger(lines_per_s: int) -> Iterator[Logger]:
+    fd = open_fd(devnull, O_WRONLY)
+    budget = LineBudget(lines_per_s, clock=SystemClock())
+    handler = JsonLineHandler(fd, budget=budget)
+    logger = getLogger(__name__)
+    logger.setLevel(INFO)
+    logger.propagate = False
+    logger.addHandler(handler)
+    disabled = root.manager.disable
+    disable(NOTSET)
+    try:
+        yield logger
+    finally:
+        disable(disabled)
+        logger.removeHandler(handler)
+        close(fd)
