Let two instances of a zone speak for it to the other zones

Change: the readers of a zone send the other zones a digest that sums up what the live instances of their zone observed; the others speak within their zone. New evidence is passed on at once.

--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -228,3 +228,72 @@
 def test_digest_survives_its_encoding():
     digest = Digest(FORMAT, "a", 5, 6, 7, False, (ServerDigest(9, 15, True),), ("h",))
     assert decode_digest(encode_digest(digest)) == digest
+
+
+def settled_fleet(*zones):
+    clock, nodes = fleet(*zones)
+    for _ in range(4):
+        clock.advance(PERIOD_S)
+        for node in nodes:
+            node.exchange.send_once()
+        deliver(nodes)
+    return clock, nodes
+
+
+def test_two_instances_speak_for_their_zone():
+    # Guards against bytes between zones that grow with the square of the fleet.
+    clock, nodes = settled_fleet(*"aaaaaa", *"bbbbbb")
+    zone = {node.sock.host: node.exchange._zone for node in nodes}
+    clock.advance(PERIOD_S)
+    for node in nodes:
+        node.exchange.send_once()
+    across = [
+        (node.sock.host, host)
+        for node in nodes
+        for _, host in node.sock.sent
+        if zone[host] != zone[node.sock.host]
+    ]
+    assert len({sender for sender, _ in across}) == 4
+    assert len(across) == 4 * 6
+    # All are known by name, as they share the budgets of cold servers.
+    assert {len(node.exchange.peers) for node in nodes} == {11}
+
+
+def test_loads_of_a_zone_reach_other_zones_once():
+    clock, nodes = settled_fleet(*"aaaa", *"bb")
+    now = clock.monotonic()
+    for node in nodes[:4]:
+        for _ in range(10):
+            node.known("i-1").requests.add(now)
+    for _ in range(2):
+        for node in nodes:
+            node.exchange.send_once()
+        deliver(nodes)
+    for node in nodes:
+        node.exchange.send_once()
+    assert nodes[0].known("i-1").peer_load == 30.0
+    assert [node.known("i-1").peer_load for node in nodes[4:]] == [40.0, 40.0]
+
+
+def test_evidence_of_an_instance_that_does_not_speak_reaches_other_zones_at_once():
+    # Guards against a crashed server that other zones go on using for a period.
+    clock, nodes = settled_fleet(*"aaaa", *"bb")
+    silent = next(node for node in nodes[:4] if not node.exchange.is_reader())
+    now = clock.monotonic()
+    silent.known("i-1").reach.note_unanswered_open(b"flow", now, now)
+    silent.exchange.announce()
+    deliver(nodes)
+    assert all(node.known("i-1").peers_suspect for node in nodes if node is not silent)
+
+
+def test_zone_goes_on_speaking_when_a_speaker_is_lost():
+    clock, nodes = settled_fleet(*"aaaa", *"bb")
+    lost = next(node for node in nodes[:4] if node.exchange.is_reader())
+    nodes.remove(lost)
+    for _ in range(8):
+        for node in nodes:
+            node.exchange.send_once()
+        deliver(nodes)
+        clock.advance(PERIOD_S)
+    assert sum(node.exchange.is_reader() for node in nodes[:3]) == 2
+    assert len(nodes[-1].exchange.peers.live(clock.monotonic())) == 3
