Revert: let two instances of a zone speak for it to the other zones

Not traced: why silent flows added up to a reset. A member's digest may be 0.5 s old when the sum is sent and the sum as old again, so silence outlives an answer; the sums of 18 instances reach three flows by single losses. That part concerns the earlier state as well. Conclusion: not kept. A next try needs sums without what was heard meanwhile, and sends them once a period only.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -36,9 +36,7 @@
         routes_version: Version of its routes; 0 when it has none.
         leaving: Whether it is about to stop.
         servers: Servers that it sent requests to or suspects.
-        peers: Hosts of instances of its zone that it hears.
-        others: Hosts of instances of other zones that it hears.
-        covers_zone: Whether `servers` sums up all instances of the zone.
+        peers: Hosts of instances that it hears.
     """
 
     format: int
@@ -49,8 +47,6 @@
     leaving: bool
     servers: tuple[ServerDigest, ...] = ()
     peers: tuple[str, ...] = ()
-    others: tuple[str, ...] = ()
-    covers_zone: bool = False
 
 
 _ENCODER = Encoder()
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -32,7 +32,7 @@
 # An instance that became known a short time ago is greeted in every period for this
 # time in seconds: after a power loss all instances start within about 2 s.
 GREETING_S = 5.0
-# Hosts that a digest names at most of its own zone, and of others; in turn if more.
+# Hosts that a digest names at most.
 MAX_NAMED_PEERS = 16
 # Servers in a digest at most, so that it fits one datagram: suspects first, then those
 # with the highest load.
@@ -63,10 +63,8 @@
         "_directory",
         "_leaving",
         "_on_news",
-        "_own_host",
         "_period",
         "_port",
-        "_relayed_at",
         "_seeds",
         "_servers",
         "_sock",
@@ -88,7 +86,7 @@
         clock: Clock,
         on_news: Callable[[Peer], None],
     ) -> None:
-        self._own_host, self._port = sock.getsockname()[:2]
+        host, self._port = sock.getsockname()[:2]
         self._sock = sock
         self._zone = zone
         self._seeds = [seed.host for seed in seeds]
@@ -99,9 +97,8 @@
         self._on_news = on_news
         self._leaving = False
         self._announced_at = float("-inf")
-        self._relayed_at = float("-inf")
         self._period = 0
-        self.peers = PeerTable(self._own_host)
+        self.peers = PeerTable(host)
         self.rejected = 0
 
     def replace_seeds(self, seeds: Sequence[Address]) -> None:
@@ -121,7 +118,7 @@
             self.peers.name(host, now)
         self.peers.expire(now)
         self._apply(now)
-        self._send([peer for peer in self.peers if self._is_due(peer, now)])
+        self._send([peer.host for peer in self.peers if self._is_due(peer, now)])
         self._period += 1
 
     async def receive(self) -> None:
@@ -131,22 +128,14 @@
     def announce_leaving(self) -> None:
         """Tell the others that this instance is about to stop."""
         self._leaving = True
-        now = self._clock.monotonic()
-        self._send([peer for peer in self.peers if self._is_due(peer, now)])
+        self._send([peer.host for peer in self.peers])
 
     def announce(self) -> None:
         """Send a digest to the live instances soon: new evidence should not wait."""
         now = self._clock.monotonic()
         if now >= self._announced_at + ANNOUNCE_S:
             self._announced_at = now
-            speaks = self.is_reader()
-            self._send(
-                [
-                    peer
-                    for peer in self.peers
-                    if (speaks if self._is_remote(peer) else peer.is_live(now))
-                ]
-            )
+            self._send([peer.host for peer in self.peers.live(now)])
 
     def take(self, data: bytes, source: Address) -> None:
         """Take in a datagram."""
@@ -158,42 +147,30 @@
             return
         now = self._clock.monotonic()
         before = self.peers.hear(source.host, digest, now)
-        unknown = {
-            *(h for h in digest.peers if self.peers.name(h, now, zone=digest.zone)),
-            *(h for h in digest.others if self.peers.name(h, now)),
-        }
+        unknown = [host for host in digest.peers if self.peers.name(host, now)]
         if before is None:
             log_event(logger, Event.MEMBER_LIVE, member=source.host, zone=digest.zone)
-            unknown.add(source.host)
+            unknown.append(source.host)
         if unknown:
-            # An instance of another zone is only greeted when it is not known as such.
-            greeted = [peer for peer in self.peers if peer.host in unknown]
-            self._send(
-                [p for p in greeted if p.digest is not None or not self._is_remote(p)]
-            )
+            self._send(unknown)
         if before is None or _evidence(before) != _evidence(digest):
             self._apply(now)
-            self._relay(source.host, digest, now)
         if digest.revision > self._directory.revision:
             peer = next(peer for peer in self.peers if peer.host == source.host)
             self._on_news(peer)
 
     def is_reader(self) -> bool:
         """Return whether this instance watches the store for its zone."""
-        return is_reader(self._own_host, self._live_hosts(self._clock.monotonic()))
-
-    def digest(self, now: float, *, covers_zone: bool = False) -> Digest:
-        """Return the state of this instance, or what its zone observed.
-
-        Args:
-            now: Monotonic time in seconds.
-            covers_zone: Sum up the observations of all instances of the zone.
-        """
+        zone = [
+            peer.host
+            for peer in self.peers.live(self._clock.monotonic())
+            if peer.digest is not None and peer.digest.zone == self._zone
+        ]
+        return is_reader(self._sock.getsockname()[0], zone)
+
+    def digest(self, now: float) -> Digest:
+        """Return the state of this instance."""
         table = self._directory.table
-        lines = self._server_digests(now)
-        if covers_zone:
-            lines = self._zone_digests(lines, now)
-        others = [p.host for p in self.peers.live(now) if p.zone != self._zone]
         return Digest(
             FORMAT,
             self._zone,
@@ -201,16 +178,10 @@
             self._directory.revision,
             table.version if table else 0,
             self._leaving,
-            tuple(_most_important(lines)),
-            self._named(self._live_hosts(now)),
-            self._named(others),
-            covers_zone,
+            tuple(self._server_digests(now)),
+            tuple(peer.host for peer in self.peers.live(now)[:MAX_NAMED_PEERS]),
         )
 
-    def _named(self, hosts: list[str]) -> tuple[str, ...]:
-        first = self._period * MAX_NAMED_PEERS % max(1, len(hosts))
-        return tuple((hosts[first:] + hosts[:first])[:MAX_NAMED_PEERS])
-
     def _server_digests(self, now: float) -> list[ServerDigest]:
         digests = []
         for known in self._servers:
@@ -225,84 +196,39 @@
                         known.reach.silent_flows(now),
                     )
                 )
+        if len(digests) > MAX_SERVERS:
+            digests.sort(key=lambda line: (line.suspect, line.load), reverse=True)
+            del digests[MAX_SERVERS:]
         return digests
 
-    def _zone_digests(self, own: list[ServerDigest], now: float) -> list[ServerDigest]:
-        """Sum up what the live instances of the zone observed."""
-        total = {line.tag: line for line in own}
-        for peer in self.peers.live(now):
-            if peer.zone != self._zone or peer.digest is None:
-                continue
-            for line in peer.digest.servers:
-                known = total.get(line.tag, ServerDigest(line.tag))
-                total[line.tag] = ServerDigest(
-                    line.tag,
-                    known.load + line.load,
-                    known.suspect or line.suspect,
-                    known.silent + line.silent,
-                )
-        return list(total.values())
-
-    def _is_remote(self, peer: Peer) -> bool:
-        """Return whether an instance is known to be in another zone."""
-        return peer.zone not in ("", self._zone)
-
-    def _live_hosts(self, now: float) -> list[str]:
-        """Return the other live instances of the zone."""
-        return [p.host for p in self.peers.live(now) if p.zone == self._zone]
-
     def _is_due(self, peer: Peer, now: float) -> bool:
-        """Return whether an instance gets a digest in this period.
-
-        Only those that watch the store speak for their zone to the other zones, so
-        that the bytes between zones do not grow with the square of the fleet.
-        """
-        if self._is_remote(peer):
-            return self.is_reader()
         return (
             peer.is_live(now)
-            or now - peer.known_at < GREETING_S
+            or now - peer.named_at < GREETING_S
             or self._period % RETRY_PERIODS == 0
         )
 
-    def _relay(self, host: str, digest: Digest, now: float) -> None:
-        """Tell other zones of new evidence of an instance that does not speak."""
-        if digest.zone != self._zone or now < self._relayed_at + ANNOUNCE_S:
-            return
-        hosts = self._live_hosts(now)
-        if not is_reader(self._own_host, hosts) or is_reader(
-            host, [self._own_host, *(each for each in hosts if each != host)]
-        ):
+    def _send(self, hosts: list[str]) -> None:
+        data = encode_digest(self.digest(self._clock.monotonic()))
+        if len(data) > MAX_DIGEST_BYTES:
+            log_event(logger, Event.DIGEST_TOO_LARGE, bytes=len(data))
             return
-        self._relayed_at = now
-        self._send([peer for peer in self.peers if self._is_remote(peer)])
-
-    def _send(self, peers: list[Peer]) -> None:
-        now = self._clock.monotonic()
-        speaks = self.is_reader()
-        for covers_zone in (False, True):
-            hosts = [p for p in peers if (speaks and self._is_remote(p)) == covers_zone]
-            if not hosts:
-                continue
-            data = encode_digest(self.digest(now, covers_zone=covers_zone))
-            if len(data) > MAX_DIGEST_BYTES:
-                log_event(logger, Event.DIGEST_TOO_LARGE, bytes=len(data))
-                continue
-            for peer in hosts:
-                try:
-                    self._sock.sendto(data, (peer.host, self._port))
-                except OSError:
-                    continue  # lost like any datagram; the next period sends again
+        for host in hosts:
+            try:
+                self._sock.sendto(data, (host, self._port))
+            except OSError:
+                continue  # lost like any datagram; the next period sends again
 
     def _apply(self, now: float) -> None:
         """Sum up the loads and suspicions of the live instances."""
         loads: dict[int, float] = {}
         suspects: set[int] = set()
         silent: dict[int, int] = {}
-        for zone, lines in self._lines_by_zone(now).items():
-            for line in lines:
+        for peer in self.peers.live(now):
+            assert peer.digest is not None
+            for line in peer.digest.servers:
                 loads[line.tag] = loads.get(line.tag, 0.0) + line.load / 10
-                if line.suspect and self._counts(zone, line.tag):
+                if line.suspect and self._counts(peer.digest.zone, line.tag):
                     suspects.add(line.tag)
                     silent[line.tag] = silent.get(line.tag, 0) + line.silent
         zones: dict[str, int] = {}
@@ -315,18 +241,6 @@
             known.zone_reach.peers_silent = zones[known.server.zone]
             known.peers_suspect = known.tag in suspects
 
-    def _lines_by_zone(self, now: float) -> dict[str, list[ServerDigest]]:
-        """Return what the live instances of each zone observed, each thing once."""
-        digests: dict[str, list[Digest]] = {}
-        for peer in self.peers.live(now):
-            assert peer.digest is not None
-            digests.setdefault(peer.zone, []).append(peer.digest)
-        lines: dict[str, list[ServerDigest]] = {}
-        for zone, heard in digests.items():
-            covering = [digest for digest in heard if digest.covers_zone]
-            lines[zone] = _highest(covering) if covering else _all_lines(heard)
-        return lines
-
     def _counts(self, zone: str, tag: int) -> bool:
         """Return whether a suspicion from a zone holds for this instance.
 
@@ -343,32 +257,3 @@
         for line in digest.servers
         if line.suspect or line.silent
     ]
-
-
-def _all_lines(digests: list[Digest]) -> list[ServerDigest]:
-    return [line for digest in digests for line in digest.servers]
-
-
-def _highest(digests: list[Digest]) -> list[ServerDigest]:
-    """Return the highest values of digests that cover the same zone.
-
-    Two instances speak for a zone; each has its own evidence first.
-    """
-    highest: dict[int, ServerDigest] = {}
-    for line in _all_lines(digests):
-        known = highest.get(line.tag, ServerDigest(line.tag))
-        highest[line.tag] = ServerDigest(
-            line.tag,
-            max(known.load, line.load),
-            known.suspect or line.suspect,
-            max(known.silent, line.silent),
-        )
-    return list(highest.values())
-
-
-def _most_important(lines: list[ServerDigest]) -> list[ServerDigest]:
-    """Return the lines that fit a datagram: suspects first, then the most loaded."""
-    if len(lines) <= MAX_SERVERS:
-        return lines
-    lines = sorted(lines, key=lambda line: (line.suspect, line.load), reverse=True)
-    return lines[:MAX_SERVERS]
--- a/src/magnoliaslip/gossip/peers.py
+++ b/src/magnoliaslip/gossip/peers.py
@@ -21,21 +21,17 @@
 
     Attributes:
         host: Its address; all instances use the same port.
-        zone: Its availability zone; empty until it is known.
         digest: The last one that it sent; None when it is only known by name.
         heard_at: Monotonic time in seconds of that digest.
-        known_at: Monotonic time in seconds at which it became known.
         named_at: Monotonic time in seconds at which it was last named.
     """
 
-    __slots__ = ("digest", "heard_at", "host", "known_at", "named_at", "zone")
+    __slots__ = ("digest", "heard_at", "host", "named_at")
 
     def __init__(self, host: str, now: float) -> None:
         self.host = host
-        self.zone = ""
         self.digest: Digest | None = None
         self.heard_at = float("-inf")
-        self.known_at = now
         self.named_at = now
 
     def is_live(self, now: float) -> bool:
@@ -76,23 +72,15 @@
         self._own_host = own_host
         self._peers: dict[str, Peer] = {}
 
-    def name(self, host: str, now: float, *, zone: str = "") -> bool:
-        """Note that an instance exists; returns whether it was unknown.
-
-        Args:
-            host: Its address.
-            now: Monotonic time in seconds.
-            zone: Its availability zone, if that is known.
-        """
+    def name(self, host: str, now: float) -> bool:
+        """Note that an instance exists; returns whether it was unknown."""
         if host == self._own_host:
             return False
-        peer = self._peers.get(host)
-        unknown = peer is None
-        if peer is None:
-            peer = self._peers[host] = Peer(host, now)
-        peer.named_at = now
-        peer.zone = peer.zone or zone
-        return unknown
+        known = self._peers.get(host)
+        if known is not None:
+            return False
+        self._peers[host] = Peer(host, now)
+        return True
 
     def hear(self, host: str, digest: Digest, now: float) -> Digest | None:
         """Note a digest; returns the one before, None when it is a new start."""
@@ -104,7 +92,6 @@
         if before is not None and before.started_ms > digest.started_ms:
             return before  # a late datagram of an earlier process
         peer.digest = digest
-        peer.zone = digest.zone
         peer.heard_at = now
         if before is None or before.started_ms != digest.started_ms:
             return None
