Reset no flow while another instance of the zone hears its server

Cause: silent flows of several instances add up to an unreachable server, while answers that one of them sees were not told. In a zone of many instances each sees few flows of a server, so slow answers to flows of three instances reset open flows of a serving server. Change: digests state how long ago an instance heard each server; an instance that hears of silence contradicts at once. A server counts as unreachable only when nobody in the zone heard it since the repeated data was first sent. Other zones do not count: the path from the own zone may be cut. Ruled out: waiting for two periods of digests before a reset, which costs the callers of a crashed server their deadline.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -6,7 +6,8 @@
 from magnoliaslip.core.errors import PeerError
 
 MAX_DIGEST_BYTES = 1400  # fits one datagram on every usual path
-FORMAT = 1
+FORMAT = 2
+NEVER_MS = 60_000  # the longest life of a flow
 
 
 class ServerDigest(Struct, array_like=True, frozen=True):
@@ -17,12 +18,14 @@
         load: Requests per second that the instance forwarded to it, in tenths.
         suspect: Whether its packets stay unanswered.
         silent: Flows with unanswered data, as far as the evidence is fresh.
+        heard_ms: Milliseconds since a flow of the instance last had an answer.
     """
 
     tag: int
     load: int = 0
     suspect: bool = False
     silent: int = 0
+    heard_ms: int = NEVER_MS
 
 
 class Digest(Struct, array_like=True, frozen=True):
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -14,6 +14,7 @@
 from magnoliaslip.gossip.digest import (
     FORMAT,
     MAX_DIGEST_BYTES,
+    NEVER_MS,
     Digest,
     ServerDigest,
     decode_digest,
@@ -21,6 +22,7 @@
 )
 from magnoliaslip.gossip.peers import Peer, PeerTable, is_reader
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.steering.reachability import REPEAT_S
 from magnoliaslip.steering.servers import ServerSet
 
 # Time in seconds between two digests to an instance: loads change within a second.
@@ -153,12 +155,27 @@
             unknown.append(source.host)
         if unknown:
             self._send(unknown)
+        if digest.zone == self._zone:
+            self._take_answers(digest, source.host, now)
         if before is None or _evidence(before) != _evidence(digest):
             self._apply(now)
         if digest.revision > self._directory.revision:
             peer = next(peer for peer in self.peers if peer.host == source.host)
             self._on_news(peer)
 
+    def _take_answers(self, digest: Digest, host: str, now: float) -> None:
+        """Note which servers an instance of the zone hears, and tell it of others."""
+        contradicts = False
+        for line in digest.servers:
+            known = self._servers.find(line.tag)
+            if known is None:
+                continue
+            known.reach.note_peer_heard(now - line.heard_ms / 1000)
+            if line.silent and known.reach.heard_since(now - REPEAT_S):
+                contradicts = True
+        if contradicts:
+            self._send([host])
+
     def is_reader(self) -> bool:
         """Return whether this instance watches the store for its zone."""
         zone = [
@@ -183,17 +200,19 @@
         )
 
     def _server_digests(self, now: float) -> list[ServerDigest]:
-        digests = []
+        digests: list[ServerDigest] = []
         for known in self._servers:
             load = known.requests.per_s(now)
             suspect = known.reach.is_reported(now)
-            if known.registered and (load >= MIN_LOAD_PER_S or suspect):
+            silent = known.reach.silent_flows(now)
+            if known.registered and (load >= MIN_LOAD_PER_S or suspect or silent):
                 digests.append(
                     ServerDigest(
                         known.tag,
                         round(load * 10),
                         suspect,
-                        known.reach.silent_flows(now),
+                        silent,
+                        _age_ms(known.reach.heard_at, now),
                     )
                 )
         if len(digests) > MAX_SERVERS:
@@ -257,3 +276,7 @@
         for line in digest.servers
         if line.suspect or line.silent
     ]
+
+
+def _age_ms(moment: float, now: float) -> int:
+    return round(min(NEVER_MS, (now - moment) * 1000))
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -37,6 +37,7 @@
     """
 
     __slots__ = (
+        "_peer_heard_at",
         "_progress_at",
         "_repeat_at",
         "_silent",
@@ -49,6 +50,7 @@
 
     def __init__(self) -> None:
         self._progress_at = float("-inf")
+        self._peer_heard_at = float("-inf")
         self._silent: set[bytes] = set()
         self._unanswered: set[bytes] = set()
         self._repeat_at = float("-inf")
@@ -104,9 +106,15 @@
         return len(self._silent) if now - self._repeat_at < EVIDENCE_S else 0
 
     def is_unreachable(self, now: float, *, flows: int = UNREACHABLE_FLOWS) -> bool:
-        """Return whether so many flows, one of them here, have unanswered data."""
+        """Return whether so many flows, one of them here, have unanswered data.
+
+        Not while another instance of the zone hears the server.
+        """
         own = self.silent_flows(now)
-        return own > 0 and own + self.peers_silent >= flows
+        if not own or own + self.peers_silent < flows:
+            return False
+        # An answer after the repeated data was first sent: the server is only slow.
+        return self._peer_heard_at < self._repeat_at - REPEAT_S
 
     def is_cut(self, now: float) -> bool:
         """Return whether new flows should avoid all of an availability zone.
@@ -131,6 +139,15 @@
         """Return whether other instances should avoid the server as well."""
         return self.suspect and now - self._repeat_at < REPORT_S
 
+    @property
+    def heard_at(self) -> float:
+        """Monotonic time in seconds of the last answer to a flow."""
+        return self._progress_at
+
+    def note_peer_heard(self, moment: float) -> None:
+        """Note when another instance of the zone last heard the server."""
+        self._peer_heard_at = max(self._peer_heard_at, moment)
+
     def heard_since(self, moment: float) -> bool:
         """Return whether a flow got an answer after a moment."""
         return self._progress_at > moment
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -228,3 +228,44 @@
 def test_digest_survives_its_encoding():
     digest = Digest(FORMAT, "a", 5, 6, 7, False, (ServerDigest(9, 15, True),), ("h",))
     assert decode_digest(encode_digest(digest)) == digest
+
+
+def test_server_that_another_instance_of_the_zone_hears_is_not_unreachable():
+    # Guards against open flows that are reset while their server serves: in a zone of
+    # many instances, slow answers to flows of three of them added up to a dead server.
+    clock, nodes = fleet("a", "a", "a")
+    first, second, hearing = nodes
+    now = clock.monotonic()
+    first.known("i-1").reach.note_repeat(b"1", now)
+    second.known("i-1").reach.note_repeat(b"2", now)
+    second.known("i-1").reach.note_repeat(b"3", now)
+    assert second.known("i-1").reach.suspect
+    hearing.known("i-1").requests.add(now)
+    hearing.known("i-1").note_progress(now)
+    first.exchange.announce()
+    second.exchange.announce()
+    deliver(nodes)
+    assert not first.known("i-1").is_unreachable(now)
+    # Nobody has heard it since: the server is gone.
+    clock.advance(0.4)
+    now = clock.monotonic()
+    first.known("i-1").reach.note_repeat(b"1", now)
+    first.exchange.announce()
+    deliver(nodes)
+    assert first.known("i-1").is_unreachable(now)
+
+
+def test_instance_of_another_zone_that_hears_a_server_proves_nothing():
+    # The path from the own zone may be cut while others reach the server.
+    clock, nodes = fleet("a", "a", "b")
+    first, second, hearing = nodes
+    now = clock.monotonic()
+    first.known("i-2").reach.note_repeat(b"1", now)
+    second.known("i-2").reach.note_repeat(b"2", now)
+    second.known("i-2").reach.note_repeat(b"3", now)
+    hearing.known("i-2").requests.add(now)
+    hearing.known("i-2").note_progress(now)
+    for node in nodes:
+        node.exchange.announce()
+    deliver(nodes)
+    assert first.known("i-2").is_unreachable(now)
