Log a first read of the store that fails

Cause: the failure was dropped without a line, as logging is not imported yet. Change: it is kept with the decisions of the start. Tests of the start's sockets, times and first read.

--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -91,8 +91,10 @@
 def _read_once(source: RegistrySource, forwarder: Forwarder) -> None:
     try:
         changes = source.list_blocking(timeout_s=FIRST_READ_S)
-    except PlatformError:
-        return  # the event loop's reader tries again, and asks other instances
+    except PlatformError as exc:
+        # The event loop's reader tries again, and other instances are asked.
+        forwarder.router.log.note("PLATFORM_DOWN", error=str(exc), first_read=True)
+        return
     forwarder.directory.apply(changes)
     forwarder.apply_directory()
 
--- /dev/null
+++ b/tests/runtime/test_start.py
@@ -0,0 +1,66 @@
+"""Guards against a start whose failures leave no trace."""
+
+from socket import AF_INET, SOCK_DGRAM
+from socket import socket as Socket  # noqa: N812
+
+import pytest
+
+from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.registry.source import RegistrySource
+from magnoliaslip.runtime.forwarder import Forwarder
+from magnoliaslip.runtime.listeners import Listeners
+from magnoliaslip.runtime.start import _read_once
+from magnoliaslip.runtime.start_times import StartTimes
+from tests.steering.rig import CollectingLink, CollectingLog
+
+
+class SilentStore(RegistrySource):
+    def list_blocking(self, *, timeout_s):
+        raise PlatformError("no answer", place="store")
+
+    async def list(self):
+        raise AssertionError("the event loop does not run")
+
+    async def watch(self, *, after, wait_s):
+        raise AssertionError("the event loop does not run")
+
+
+def test_first_read_that_fails_is_logged():
+    with Socket(AF_INET, SOCK_DGRAM) as sock:
+        forwarder = Forwarder(
+            "a", sock=sock, link=CollectingLink(), decode=None, clock=SystemClock()
+        )
+        forwarder.router.log = log = CollectingLog()
+        _read_once(SilentStore(), forwarder)
+    ((event, _, inputs),) = log.notes
+    assert event == "PLATFORM_DOWN" and "no answer" in inputs["error"]
+    assert not forwarder.ready
+
+
+def test_times_of_a_start_count_from_the_open_sockets():
+    times = StartTimes(0.0)
+    times.note("imported")
+    times.note("read")
+    fields = times.fields()
+    assert 0 < fields["imported_ms"] <= fields["read_ms"]
+
+
+@pytest.mark.parametrize("address", ["127.0.0.1", "127.0.0.1:x", "127.0.0.1:0", ":"])
+def test_address_without_a_port_is_an_error(address):
+    with pytest.raises(ValueError, match="ADDRESS:PORT"):
+        Listeners(address, "127.0.0.1:1")
+
+
+def test_address_in_use_closes_the_other_socket():
+    with Socket() as taken:
+        taken.bind(("127.0.0.1", 0))
+        taken.listen()
+        used = f"127.0.0.1:{taken.getsockname()[1]}"
+        with Socket(AF_INET, SOCK_DGRAM) as probe:
+            probe.bind(("127.0.0.1", 0))
+            packets = probe.getsockname()
+        with pytest.raises(OSError, match="in use"):
+            Listeners(f"{packets[0]}:{packets[1]}", used)
+        with Socket(AF_INET, SOCK_DGRAM) as again:
+            again.bind(packets)
