--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -230,18 +230,26 @@
     assert decode_digest(encode_digest(digest)) == digest
 
 
+def three_silent_flows(name, first, second, now):
+    first.known(name).reach.note_repeat(b"1", now)
+    second.known(name).reach.note_repeat(b"2", now)
+    second.known(name).reach.note_repeat(b"3", now)
+    assert second.known(name).reach.suspect
+
+
+def hear(node, name, now):
+    node.known(name).requests.add(now)
+    node.known(name).note_progress(now)
+
+
 def test_server_that_another_instance_of_the_zone_hears_is_not_unreachable():
     # Guards against open flows that are reset while their server serves: in a zone of
     # many instances, slow answers to flows of three of them added up to a dead server.
     clock, nodes = fleet("a", "a", "a")
     first, second, hearing = nodes
     now = clock.monotonic()
-    first.known("i-1").reach.note_repeat(b"1", now)
-    second.known("i-1").reach.note_repeat(b"2", now)
-    second.known("i-1").reach.note_repeat(b"3", now)
-    assert second.known("i-1").reach.suspect
-    hearing.known("i-1").requests.add(now)
-    hearing.known("i-1").note_progress(now)
+    three_silent_flows("i-1", first, second, now)
+    hear(hearing, "i-1", now)
     first.exchange.announce()
     second.exchange.announce()
     deliver(nodes)
@@ -260,11 +268,8 @@
     clock, nodes = fleet("a", "a", "b")
     first, second, hearing = nodes
     now = clock.monotonic()
-    first.known("i-2").reach.note_repeat(b"1", now)
-    second.known("i-2").reach.note_repeat(b"2", now)
-    second.known("i-2").reach.note_repeat(b"3", now)
-    hearing.known("i-2").requests.add(now)
-    hearing.known("i-2").note_progress(now)
+    three_silent_flows("i-2", first, second, now)
+    hear(hearing, "i-2", now)
     for node in nodes:
         node.exchange.announce()
     deliver(nodes)
