Bound how often an instance contradicts another one

Cause, found in review: two instances that each hear the server that is silent for the other one answered each other's digests at the speed of the network. Change: at most one contradiction in 0.1 s to an instance.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -173,7 +173,7 @@
             known.reach.note_peer_heard(now - line.heard_ms / 1000)
             if line.silent and known.reach.heard_since(now - REPEAT_S):
                 contradicts = True
-        if contradicts:
+        if contradicts and self.peers.may_contradict(host, now):
             self._send([host])
 
     def is_reader(self) -> bool:
--- a/src/magnoliaslip/gossip/peers.py
+++ b/src/magnoliaslip/gossip/peers.py
@@ -11,6 +11,9 @@
 # An instance that was not heard for this time in seconds is forgotten; until then it
 # is sent a digest now and then, so that both sides of a cut find each other again.
 FORGET_S = 60.0
+# Least time in seconds between two contradictions to an instance: two that each hear
+# what is silent for the other would answer each other at the speed of the network.
+CONTRADICT_S = 0.1
 # Instances of a zone that watch the store; the second one covers the moment in which
 # the first one is gone and the others have not noticed.
 READERS = 2
@@ -21,15 +24,17 @@
 
     Attributes:
         host: Its address; all instances use the same port.
+        contradicted_at: Monotonic time in seconds at which it was last contradicted.
         digest: The last one that it sent; None when it is only known by name.
         heard_at: Monotonic time in seconds of that digest.
         named_at: Monotonic time in seconds at which it was last named.
     """
 
-    __slots__ = ("digest", "heard_at", "host", "named_at")
+    __slots__ = ("contradicted_at", "digest", "heard_at", "host", "named_at")
 
     def __init__(self, host: str, now: float) -> None:
         self.host = host
+        self.contradicted_at = float("-inf")
         self.digest: Digest | None = None
         self.heard_at = float("-inf")
         self.named_at = now
@@ -97,6 +102,14 @@
             return None
         return before
 
+    def may_contradict(self, host: str, now: float) -> bool:
+        """Return whether an instance may be contradicted now; notes that it is."""
+        peer = self._peers.get(host)
+        if peer is None or now < peer.contradicted_at + CONTRADICT_S:
+            return False
+        peer.contradicted_at = now
+        return True
+
     def live(self, now: float) -> list[Peer]:
         """Return the instances that were heard a short time ago."""
         return [peer for peer in self._peers.values() if peer.is_live(now)]
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -274,3 +274,23 @@
         node.exchange.announce()
     deliver(nodes)
     assert first.known("i-2").is_unreachable(now)
+
+
+def test_two_instances_that_contradict_each_other_do_not_answer_for_ever():
+    # Guards against datagrams as fast as the network carries them: each instance hears
+    # the server that is silent for the other one.
+    clock, nodes = fleet("a", "a")
+    first, second = nodes
+    now = clock.monotonic()
+    for node, silent, heard in ((first, "i-1", "i-2"), (second, "i-2", "i-1")):
+        node.known(silent).reach.note_repeat(b"1", now)
+        hear(node, heard, now)
+    first.exchange.announce()
+    rounds = 0
+    while any(node.sock.sent for node in nodes) and rounds < 20:
+        rounds += 1
+        for node, other in ((first, second), (second, first)):
+            sent, node.sock.sent = node.sock.sent, []
+            for data, _ in sent:
+                other.exchange.take(data, Address(node.sock.host, PORT))
+    assert rounds <= 3
