Share what the operators' commands and the start wrote again

Change: options in command_line, ask_all in asking, paths in runtime.paths, the parser in core.address_text, from which Address.parse and Listeners take it. The module that holds Beliefs has its name. METRICS_TYPE is used where it was written out. Behaviour is the same, but that an address with port 0 or a name as host says so instead of asking for ADDRESS:PORT; the test states the reason for each. New check: what is imported before the sockets are open. Ruled out: one client for both kinds of instance (gRPC and HTTP share the shape only), one loop for the blocking and the awaiting request (three lines).

--- a/src/magnoliaslip/ops/command_line.py
+++ b/src/magnoliaslip/ops/command_line.py
@@ -14,6 +14,7 @@
 from magnoliaslip.config.tables import TableSet
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import MagnoliaslipError, PeerError, PlatformError
+from magnoliaslip.ops.admin_client import DEFAULT_TIMEOUT_S
 from magnoliaslip.ops.published import load_published, read_published
 
 EXIT_FINE = 0
@@ -61,6 +62,13 @@
     multiple=True,
     help="Address of the platform; repeat it for several, tried in turn.",
 )
+json_option = option("--json", "as_json", is_flag=True, help="Print JSON.")
+timeout_option = option(
+    "--timeout",
+    default=DEFAULT_TIMEOUT_S,
+    show_default=True,
+    help="Time in seconds for each instance.",
+)
 
 
 def reports_errors(command: Callable[P, None]) -> Callable[P, None]:
--- a/src/magnoliaslip/ops/explain.py
+++ b/src/magnoliaslip/ops/explain.py
@@ -14,6 +14,7 @@
     DIRECTORY,
     EXIT_CODES,
     in_force_option,
+    json_option,
     platform_option,
     reports_errors,
     tables_in_force,
@@ -30,7 +31,7 @@
 @in_force_option
 @platform_option
 @option("--instance", type=ADDRESS, help="Control address of a running instance.")
-@option("--json", "as_json", is_flag=True, help="Print JSON.")
+@json_option
 @reports_errors
 def explain(
     caller: Address,
--- a/src/magnoliaslip/ops/status.py
+++ b/src/magnoliaslip/ops/status.py
@@ -4,21 +4,24 @@
 from dataclasses import dataclass
 from sys import exit as exit_process
 
-from anyio import create_task_group, run
-from click import UsageError, argument, command, echo, option
+from anyio import run
+from click import UsageError, argument, command, echo
 from msgspec.json import encode, format
 
 from magnoliaslip.config.http_platform import HttpPlatform
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.instance.status import InstanceStatus
-from magnoliaslip.ops.admin_client import DEFAULT_TIMEOUT_S, AdminClient
+from magnoliaslip.ops.admin_client import AdminClient
+from magnoliaslip.ops.asking import ask_all
 from magnoliaslip.ops.command_line import (
     ADDRESS,
     EXIT_CODES,
     EXIT_UNREACHABLE,
+    json_option,
     platform_option,
     reports_errors,
+    timeout_option,
 )
 from magnoliaslip.ops.published import read_instances
 from magnoliaslip.ops.text_table import format_table
@@ -44,13 +47,8 @@
 @command(epilog=EXIT_CODES)
 @argument("instances", type=ADDRESS, nargs=-1)
 @platform_option
-@option("--json", "as_json", is_flag=True, help="Print JSON.")
-@option(
-    "--timeout",
-    default=DEFAULT_TIMEOUT_S,
-    show_default=True,
-    help="Time in seconds for each instance.",
-)
+@json_option
+@timeout_option
 @reports_errors
 def status(
     instances: tuple[Address, ...],
@@ -81,19 +79,15 @@
     addresses: Sequence[Address], timeout_s: float
 ) -> list[InstanceAnswer]:
     """Ask instances at the same time; the answers are in order of the addresses."""
-    answers: dict[Address, InstanceAnswer] = {}
 
-    async def ask(address: Address) -> None:
+    async def ask(address: Address) -> InstanceAnswer:
         try:
             client = AdminClient(address, timeout_s=timeout_s)
-            answers[address] = InstanceAnswer(str(address), await client.status())
+            return InstanceAnswer(str(address), await client.status())
         except PeerError as exc:
-            answers[address] = InstanceAnswer(str(address), error=str(exc))
+            return InstanceAnswer(str(address), error=str(exc))
 
-    async with create_task_group() as tasks:
-        for address in addresses:
-            tasks.start_soon(ask, address)
-    return [answers[address] for address in addresses]
+    return await ask_all(addresses, ask)
 
 
 def format_answers(answers: Sequence[InstanceAnswer]) -> str:
--- a/src/magnoliaslip/ops/steering.py
+++ b/src/magnoliaslip/ops/steering.py
@@ -1,22 +1,25 @@
 """The commands ``steering check``, ``steering status`` and ``steering explain``."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from datetime import UTC, datetime
 from pathlib import Path
 from sys import exit as exit_process
 
-from anyio import create_task_group, run
+from anyio import run
 from click import argument, echo, group, option
 from msgspec.json import encode, format
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import PeerError
+from magnoliaslip.ops.asking import ask_all
 from magnoliaslip.ops.command_line import (
     ADDRESS,
     EXIT_CODES,
     EXIT_UNREACHABLE,
     FILE,
+    json_option,
     reports_errors,
+    timeout_option,
 )
 from magnoliaslip.ops.steering_client import SteeringClient
 from magnoliaslip.ops.text_table import format_table
@@ -28,16 +31,6 @@
     SteeringStatus,
 )
 
-DEFAULT_TIMEOUT_S = 3.0
-
-json_option = option("--json", "as_json", is_flag=True, help="Print JSON.")
-timeout_option = option(
-    "--timeout",
-    default=DEFAULT_TIMEOUT_S,
-    show_default=True,
-    help="Time in seconds for each instance.",
-)
-
 
 @group(epilog=EXIT_CODES)
 def steering() -> None:
@@ -65,7 +58,16 @@
     INSTANCES are control addresses. The exit code is 3 when one did not answer; the
     others are shown.
     """
-    states, errors = run(_ask_all, instances, timeout)
+
+    async def ask(address: Address) -> SteeringStatus | PeerError:
+        try:
+            return await SteeringClient(address, timeout_s=timeout).status()
+        except PeerError as exc:
+            return exc
+
+    answers = run(ask_all, instances, ask)
+    states = [answer for answer in answers if isinstance(answer, SteeringStatus)]
+    errors = [answer for answer in answers if isinstance(answer, PeerError)]
     if as_json:
         echo(format(encode(states)))
     else:
@@ -101,26 +103,6 @@
     echo(format(encode(answer)) if as_json else format_explanation(answer))
 
 
-async def _ask_all(
-    addresses: Sequence[Address], timeout_s: float
-) -> tuple[list[SteeringStatus], list[PeerError]]:
-    """Ask instances at the same time; the answers are in order of the addresses."""
-    answers: dict[Address, SteeringStatus] = {}
-    errors: list[PeerError] = []
-
-    async def ask(address: Address) -> None:
-        try:
-            client = SteeringClient(address, timeout_s=timeout_s)
-            answers[address] = await client.status()
-        except PeerError as exc:
-            errors.append(exc)
-
-    async with create_task_group() as tasks:
-        for address in addresses:
-            tasks.start_soon(ask, address)
-    return [answers[each] for each in addresses if each in answers], errors
-
-
 def format_status(state: SteeringStatus) -> str:
     """Return the state of an instance for an operator to read."""
     answers = "answers" if state.store_answers else "does not answer"
--- a/src/magnoliaslip/ops/steering_client.py
+++ b/src/magnoliaslip/ops/steering_client.py
@@ -11,6 +11,7 @@
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.core.http_exchange import HttpProtocolError
+from magnoliaslip.runtime.paths import EXPLAIN_PATH, STATUS_PATH
 from magnoliaslip.runtime.status import FlowExplanation, SteeringStatus
 
 MAX_ANSWER_BYTES = 64 << 20  # 110,000 servers at 200 bytes
@@ -41,7 +42,7 @@
         Raises:
             PeerError: The instance does not answer, or refuses to.
         """
-        return await self._ask("/v1/status", _STATUS)
+        return await self._ask(STATUS_PATH, _STATUS)
 
     async def explain(self, caller: Address, endpoint: Address) -> FlowExplanation:
         """Return where packets of a flow go.
@@ -50,7 +51,7 @@
             PeerError: The instance does not answer, or refuses to.
         """
         query = urlencode({"caller": caller, "endpoint": endpoint})
-        return await self._ask(f"/v1/explain?{query}", _EXPLANATION)
+        return await self._ask(f"{EXPLAIN_PATH}?{query}", _EXPLANATION)
 
     async def _ask(self, target: str, decoder: Decoder[T]) -> T:
         try:
--- a/src/magnoliaslip/runtime/explaining.py
+++ b/src/magnoliaslip/runtime/beliefs.py
@@ -1,4 +1,4 @@
-"""Builds the answers of an instance to the questions of operators.
+"""What an instance believes, as operators ask for it.
 
 Imported with the first question; a start needs none of it.
 """
--- a/src/magnoliaslip/runtime/listeners.py
+++ b/src/magnoliaslip/runtime/listeners.py
@@ -8,6 +8,7 @@
 from socket import socket as Socket  # noqa: N812
 from time import monotonic
 
+from magnoliaslip.core.address_text import split_address
 from magnoliaslip.dataplane.udp_socket import open_udp
 
 
@@ -22,16 +23,16 @@
         opened_at: Monotonic time in seconds.
 
     Raises:
-        ValueError: An address is not of the form ADDRESS:PORT.
+        ValueError: An address is no IP address with a port.
         OSError: An address is in use or not of this machine.
     """
 
     __slots__ = ("opened_at", "packets", "readiness")
 
     def __init__(self, packets: str, readiness: str) -> None:
-        self.packets: Socket = open_udp(_address(packets))
+        self.packets: Socket = open_udp(split_address(packets))
         try:
-            self.readiness: Socket = create_server(_address(readiness))
+            self.readiness: Socket = create_server(split_address(readiness))
         except (ValueError, OSError):
             self.packets.close()
             raise
@@ -41,10 +42,3 @@
         """Close both sockets."""
         self.packets.close()
         self.readiness.close()
-
-
-def _address(text: str) -> tuple[str, int]:
-    host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit() or not 0 < int(port) < 65536:
-        raise ValueError(f"{text!r} is not of the form ADDRESS:PORT")
-    return host.strip("[]"), int(port)
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -32,20 +32,19 @@
 from magnoliaslip.runtime.forwarder import Forwarder
 from magnoliaslip.runtime.late_imports import import_metrics_page
 from magnoliaslip.runtime.metrics_page import MetricsPage, Reading
+from magnoliaslip.runtime.paths import EXPLAIN_PATH, STATUS_PATH
 from magnoliaslip.runtime.settings import SteeringSettings
 from magnoliaslip.runtime.start_times import StartTimes
 from magnoliaslip.steering.decisions import DecisionBuffer
 
 if TYPE_CHECKING:
-    from magnoliaslip.runtime.explaining import Beliefs
+    from magnoliaslip.runtime.beliefs import Beliefs
 
 TICK_S = 1.0
 # After a stop was requested, the fabric needs two failed polls of 0.5 s to take the
 # instance out of rotation; packets are forwarded for this long, in seconds.
 LINGER_S = 1.5
 METRICS_PATH = "/metrics"
-STATUS_PATH = "/v1/status"
-EXPLAIN_PATH = "/v1/explain"
 METRICS_TYPE = "text/plain; version=0.0.4"
 STDOUT = 1
 MICROSECONDS = 1e6
@@ -255,7 +254,7 @@
         return self._beliefs().explain(self._cfg.id, flow, endpoint)
 
     def _beliefs(self) -> "Beliefs":
-        from magnoliaslip.runtime.explaining import Beliefs
+        from magnoliaslip.runtime.beliefs import Beliefs
 
         return Beliefs(
             self._forwarder.router,
@@ -268,9 +267,7 @@
             return HttpAnswer(404)
         for _ in import_metrics_page():
             await checkpoint()
-        return HttpAnswer(
-            200, self._page.render(), (("Content-Type", "text/plain; version=0.0.4"),)
-        )
+        return HttpAnswer(200, self._page.render(), (("Content-Type", METRICS_TYPE),))
 
     def _read_metrics(self) -> Reading:
         now = self._clock.monotonic()
--- a/tests/runtime/test_explaining.py
+++ b/tests/runtime/test_beliefs.py
@@ -7,7 +7,7 @@
 from magnoliaslip.gossip.digest import FORMAT, Digest
 from magnoliaslip.gossip.peers import PeerTable
 from magnoliaslip.registry.source import ServerChange, ZoneChange
-from magnoliaslip.runtime.explaining import Beliefs
+from magnoliaslip.runtime.beliefs import Beliefs
 from magnoliaslip.steering.reachability import OPEN_ANSWER_S
 from tests.steering.rig import DESK, START, Rig, server
 
--- a/tests/runtime/test_imports.py
+++ b/tests/runtime/test_imports.py
@@ -1,5 +1,6 @@
 """Guards against modules that delay the first packet of an instance."""
 
+from site import getsitepackages
 from subprocess import run
 from sys import executable
 
@@ -22,15 +23,24 @@
     "modules", [FIRST_PACKET, FIRST_PACKET + ",fleet_adapter.adapter"]
 )
 def test_first_packet_needs_no_late_module(modules):
+    assert not loaded_by(modules) & set(LATE)
+
+
+def test_sockets_are_opened_before_what_packets_need_is_imported():
+    loaded = loaded_by("magnoliaslip.runtime.listeners")
+    assert not loaded & {*LATE, "json", "re", "typing", "httptools", "xxhash"}
+
+
+def loaded_by(modules):
     done = run(
-        [executable, "-c", CODE, modules],
+        # Without the site module, as an instance is started.
+        [executable, "-S", "-c", CODE, modules],
         check=True,
         capture_output=True,
         text=True,
-        env={"PYTHONPATH": "src:platform"},
+        env={"PYTHONPATH": f"src:platform:{getsitepackages()[0]}"},
     )
-    loaded = set(done.stdout.split())
-    assert not loaded & set(LATE)
+    return set(done.stdout.split())
 
 
 def test_late_modules_exist():
--- a/tests/runtime/test_start.py
+++ b/tests/runtime/test_start.py
@@ -46,9 +46,18 @@
     assert 0 < fields["imported_ms"] <= fields["read_ms"]
 
 
-@pytest.mark.parametrize("address", ["127.0.0.1", "127.0.0.1:x", "127.0.0.1:0", ":"])
-def test_address_without_a_port_is_an_error(address):
-    with pytest.raises(ValueError, match="ADDRESS:PORT"):
+@pytest.mark.parametrize(
+    ("address", "reason"),
+    [
+        ("127.0.0.1", "ADDRESS:PORT"),
+        ("127.0.0.1:x", "ADDRESS:PORT"),
+        ("127.0.0.1:0", "port 0"),
+        (":", "ADDRESS:PORT"),
+        ("localhost:1", "not an IP address"),
+    ],
+)
+def test_address_without_a_port_is_an_error(address, reason):
+    with pytest.raises(ValueError, match=reason):
         Listeners(address, "127.0.0.1:1")
 
 
