Take the warm-up budget where a flow is placed

Cause: the choice of a server had a switch, so that a question of an operator uses up no budget; the router noted a placed flow in three places. Change: KnownServer.note_placed counts the request, the trial and the budget; choosing changes nothing but the refill. Resets and drops share their log line. A digest's sender is looked up by address in place of a search through a copy of all instances; a digest that claims the own address ended the receiving task and is ignored now. Behaviour is the same otherwise.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -159,8 +159,8 @@
             self._take_answers(digest, source.host, now)
         if before is None or _evidence(before) != _evidence(digest):
             self._apply(now)
-        if digest.revision > self._directory.revision:
-            peer = next(peer for peer in self.peers if peer.host == source.host)
+        peer = self.peers.get(source.host)
+        if peer is not None and digest.revision > self._directory.revision:
             self._on_news(peer)
 
     def _take_answers(self, digest: Digest, host: str, now: float) -> None:
--- a/src/magnoliaslip/gossip/peers.py
+++ b/src/magnoliaslip/gossip/peers.py
@@ -102,6 +102,10 @@
             return None
         return before
 
+    def get(self, host: str) -> Peer | None:
+        """Return an instance by its address."""
+        return self._peers.get(host)
+
     def may_contradict(self, host: str, now: float) -> bool:
         """Return whether an instance may be contradicted now; notes that it is."""
         peer = self._peers.get(host)
--- a/src/magnoliaslip/steering/choice.py
+++ b/src/magnoliaslip/steering/choice.py
@@ -33,7 +33,6 @@
         *,
         tried: Collection[KnownServer] = (),
         cold_opens_per_s: float = 0.0,
-        takes_budget: bool = True,
     ) -> KnownServer | None:
         """Choose a server, or None when there is no candidate.
 
@@ -47,7 +46,6 @@
             tried: Servers that did not answer this flow.
             cold_opens_per_s: New flows per second that this instance may place on a
                 cold server; 0 when no limit is stated.
-            takes_budget: Whether the flow is placed, so that it counts.
         """
         candidates = [known for known in candidates if known.is_listed(now)]
         usable = (
@@ -66,10 +64,7 @@
             ]
         if not usable:
             return None
-        chosen = self._least_loaded(usable, flow, now)
-        if takes_budget:
-            chosen.warm_up.take()
-        return chosen
+        return self._least_loaded(usable, flow, now)
 
     def _least_loaded(
         self, usable: list[KnownServer], flow: bytes, now: float
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -117,9 +117,7 @@
 
     def preview(self, service: str, flow: bytes, now: float) -> KnownServer | None:
         """Return the server that a new flow would get, without placing it."""
-        return self._choice.choose(
-            self.servers.candidates(service), flow, now, takes_budget=False
-        )
+        return self._choice.choose(self.servers.candidates(service), flow, now)
 
     def note_drained(self, now: float) -> None:
         """Conclude from opens that were not answered in time.
@@ -192,10 +190,8 @@
             tried=[other.server.id for other in tried],
             revision=self._directory.revision,
         )
-        # Counted before its request comes, so that a burst of opens is spread.
-        known.requests.add(now)
         note.counted = True
-        known.reach.note_placed(now)
+        known.note_placed(now)
         self._opens.add(now, packet.flow, packet.caller, known)
         self._send(known, packet)
 
@@ -291,19 +287,18 @@
 
     def _reset(self, packet: TaggedPacket, reason: str, **inputs: Any) -> None:
         self.counters[f"reset_{reason}"] += 1
-        self.log.note(
-            "FLOW_RESET",
-            packet.flow,
-            reason=reason,
-            revision=self._directory.revision,
-            **inputs,
-        )
+        self._log_end("FLOW_RESET", packet, reason, inputs)
         self._link.send_reset(packet)
 
     def _drop(self, packet: TaggedPacket, reason: str, **inputs: Any) -> None:
         self.counters[f"drop_{reason}"] += 1
+        self._log_end("FLOW_DROPPED", packet, reason, inputs)
+
+    def _log_end(
+        self, event: str, packet: TaggedPacket, reason: str, inputs: dict[str, Any]
+    ) -> None:
         self.log.note(
-            "FLOW_DROPPED",
+            event,
             packet.flow,
             reason=reason,
             revision=self._directory.revision,
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -108,6 +108,16 @@
             return False
         return self.reach.admits(now)
 
+    def note_placed(self, now: float) -> None:
+        """Note that a new flow was placed on it.
+
+        Its first request counts at once, so that a burst of opens is spread.
+        """
+        self.requests.add(now)
+        self.reach.note_placed(now)
+        if self.cold_until > now:
+            self.warm_up.take()
+
     def note_progress(self, now: float) -> bool:
         """Note that a flow got an answer; returns whether it was suspect."""
         self.zone_reach.note_progress(now)
