--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -294,3 +294,12 @@
             for data, _ in sent:
                 other.exchange.take(data, Address(node.sock.host, PORT))
     assert rounds <= 3
+
+
+def test_digest_from_the_own_address_is_ignored():
+    # Guards against a forged or reflected datagram that ends the receiving task.
+    _, nodes = fleet("a", "b")
+    data = encode_digest(Digest(FORMAT, "a", 1, 99, 1, False))
+    nodes[0].exchange.take(data, Address(nodes[0].sock.host, PORT))
+    assert not nodes[0].news
+    assert len(nodes[0].exchange.peers) == 1
