--- a/src/magnoliaslip/core/json_log.py
+++ b/src/magnoliaslip/core/json_log.py
@@ -1,7 +1,7 @@
 """Log lines as JSON on a descriptor that must never block the process."""
 
 from collections import Counter
-from logging import Handler, Logger, LogRecord, getLogger
+from logging import ERROR, Handler, LogRecord, getLogger
 from os import set_blocking, write
 
 from msgspec.json import Encoder
@@ -14,6 +14,8 @@
 
 _ENCODER = Encoder(enc_hook=str)
 
+logger = getLogger(__name__)
+
 
 class LineBudget:
     """Bounds the lines per second; what is left out is counted by event.
@@ -69,7 +71,7 @@
         """Write one record; never blocks and never raises."""
         event: Event | None = getattr(record, "event", None)
         name = event.name if event else record.name
-        if record.levelno < 40 and not self._budget.admits(name):
+        if record.levelno < ERROR and not self._budget.admits(name):
             return
         at = getattr(record, "at", None) or record.created
         line = {"t": round(at, 3), "level": record.levelname.lower()}
@@ -93,8 +95,4 @@
         if left_out:
             counts = dict(left_out)
             left_out.clear()
-            log_event(_logger(), Event.LOG_LIMITED, left_out=counts)
-
-
-def _logger() -> Logger:
-    return getLogger(__name__)
+            log_event(logger, Event.LOG_LIMITED, left_out=counts)
