Reserve a block of ports for each site of the lab

Change: a site reserves a block of 200 ports by a bound socket for as long as it runs; sites of other processes pick from other blocks. An exit stack owns the reservation.

--- a/src/magnoliaslip/lab/site.py
+++ b/src/magnoliaslip/lab/site.py
@@ -1,7 +1,7 @@
 """Runs a deployment as processes on loopback."""
 
 from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from contextlib import AsyncExitStack, asynccontextmanager
 from dataclasses import dataclass, field, replace
 from pathlib import Path
 from random import SystemRandom
@@ -38,7 +38,7 @@
 )
 from magnoliaslip.lab.platform_server import ADMIN_GROUP
 from magnoliaslip.lab.platform_store import PlatformMode
-from magnoliaslip.lab.ports import PortPicker
+from magnoliaslip.lab.ports import PortPicker, reserve_ports
 from magnoliaslip.lab.workload import WorkloadConfig
 
 # Time until the fabric learns that an instance is leaving, and until a killed instance
@@ -97,6 +97,7 @@
         options: SiteOptions,
         *,
         children: ChildProcesses,
+        ports: PortPicker,
         work_dir: Path,
     ) -> None:
         self.deployment = deployment
@@ -105,7 +106,7 @@
         self._options = options
         self._children = children
         self._work_dir = work_dir
-        self._ports = PortPicker(SystemRandom())
+        self._ports = ports
         self._platform_addresses = {
             group: self._ports.pick() for group in (ADMIN_GROUP, *deployment.zones)
         }
@@ -472,8 +473,19 @@
         ChildError: A process did not become ready.
     """
     options = options or SiteOptions()
-    with TemporaryDirectory(prefix="magnoliaslip-") as name:
-        async with open_child_processes(options.log_dir) as children:
-            site = Site(deployment, options, children=children, work_dir=Path(name))
-            await site.start()
-            yield site
+    async with AsyncExitStack() as stack:
+        work_dir = stack.enter_context(TemporaryDirectory(prefix="magnoliaslip-"))
+        # Sites of other processes that start meanwhile pick other ports.
+        ports = stack.enter_context(reserve_ports(SystemRandom()))
+        children = await stack.enter_async_context(
+            open_child_processes(options.log_dir)
+        )
+        site = Site(
+            deployment,
+            options,
+            children=children,
+            ports=ports,
+            work_dir=Path(work_dir),
+        )
+        await site.start()
+        yield site
