Discard the placement of a held SYN that is dropped as stale

After the heal the SYN is dropped as stale, since the other side may have placed the flow, but the placement stayed. Members then forwarded packets of the caller's connection, established at the other side's server, by that exception to a server that never got the SYN; its reset passed once the owner was authoritative again. Change: dropping the stale SYN removes the placement here and at the replicas. No server received that SYN, so nothing can be lost by it.

--- a/src/magnoliaslip/placement/flow_placer.py
+++ b/src/magnoliaslip/placement/flow_placer.py
@@ -105,7 +105,7 @@
                 service = state.services[half_open.service]
                 if state.owns(service, half_open.packet.bucket) or state.leaving:
                     if self._may_be_placed_elsewhere(half_open, now):
-                        self._forwarder.drop(half_open.packet, "open_stale")
+                        self._discard_stale(half_open, service, now)
                     else:
                         self._send_syn(half_open, now)
                 else:
@@ -193,6 +193,24 @@
                 retry_in=f"{delay:.1f}",
             )
 
+    def _discard_stale(
+        self, half_open: HalfOpenFlow, service: Service, now: float
+    ) -> None:
+        """Drop a held SYN and its placement, as another owner may have placed the flow.
+
+        No server has received this SYN. Replicas must not use the placement: they would
+        forward packets of the caller's connection to a server that does not know it.
+        """
+        state, packet = self._state, half_open.packet
+        state.half_open.remove(packet.key)
+        service.load.remove_flow(half_open.server, packet.key)
+        record = state.records.get(packet.key, packet.hash)
+        if record is not None:
+            self._termination.remove(packet.key, packet.hash, record, now)
+            for log in state.logs.values():
+                log.flush(now, urgent=True)
+        self._forwarder.drop(packet, "open_stale")
+
     def _may_be_placed_elsewhere(self, half_open: HalfOpenFlow, now: float) -> bool:
         """Check whether the other side of a partition may have placed a held flow.
 
--- a/tests/placement/test_flow_placer.py
+++ b/tests/placement/test_flow_placer.py
@@ -327,3 +327,27 @@
             fleet.send_segment(key, via=late)
             assert not fleet.reset_after_syn_ack(key)
             assert len(set(fleet.answered_by(key))) == 1
+
+
+def test_placement_of_a_stale_held_syn_is_removed_at_the_replicas():
+    # Guards against a reset of a flow that the other side of a partition placed: the
+    # owner drops the SYN that it held, but replicas keep its placement and forward
+    # packets of the caller's connection to a server that does not know it.
+    fleet = Fleet(7)
+    key = flow(1)
+    owner = fleet.owner(key)
+    lost_zone = next(z for z in map(fleet.zone, fleet.nodes) if z != fleet.zone(owner))
+    beyond = [name for name in fleet.nodes if fleet.zone(name) == lost_zone]
+    side = [name for name in fleet.nodes if name not in beyond]
+    fleet.partitions |= {(one, other) for one in side for other in beyond}
+    fleet.set_view(at=side, unreachable=beyond)
+    fleet.place_exception(key, via=owner)
+
+    def with_record():
+        nodes = (fleet.nodes[name] for name in side)
+        return [n for n in nodes if n.router._state.records.get(key, flow_hash(key))]
+
+    assert len(with_record()) > 1, "the SYN is held and replicas have the exception"
+    fleet.run(3.0)
+    assert fleet.nodes[owner].router._state.counters["drop_open_stale"] == 1
+    assert not with_record()
