Keep open flows at their server when a route changes

Change: the tag of a flow is a hash of the endpoint, seeded with the server's identity. It proves by itself that an instance placed a flow of this endpoint on this server, so routes apply to SYNs only. No state and nothing passed on; works on an instance started after the change and on one with older routes. Routes of type download are idempotent.

--- /dev/null
+++ b/src/magnoliaslip/core/field_reader.py
@@ -0,0 +1,28 @@
+"""Reads fields of decoded JSON, without a library that would have to be imported."""
+
+from typing import Any, TypeVar
+
+T = TypeVar("T")
+
+_MISSING: Any = object()
+
+
+def read_field(
+    entry: Any,
+    name: str,
+    expected_type: type[T] | tuple[type[T], ...],
+    default: T = _MISSING,
+) -> T:
+    """Return a field that has the expected type.
+
+    Raises:
+        ValueError: The field is missing and has no default, or has another type.
+    """
+    if not isinstance(entry, dict):
+        raise ValueError("the entry is not a JSON object")
+    value = entry.get(name, default)
+    if value is _MISSING:
+        raise ValueError(f"field {name!r} is missing")
+    if not isinstance(value, expected_type) or isinstance(value, bool):
+        raise ValueError(f"field {name!r} has the wrong type")
+    return value
--- a/src/magnoliaslip/steering/flow_table.py
+++ b/src/magnoliaslip/steering/flow_table.py
@@ -23,6 +23,7 @@
 
     Attributes:
         server: The server that the flow was last sent to.
+        tag: Tag that its packets to that server carry.
         tried: Servers that earlier transmissions of the SYN were sent to.
         retransmission: Number of earlier transmissions of the last SYN received.
         next_request_counted: Whether its next request is already counted as load; the
@@ -45,12 +46,14 @@
         "sent_at",
         "seq",
         "server",
+        "tag",
         "tried",
         "unanswered_since",
     )
 
     def __init__(self, now: float) -> None:
         self.server: TrackedServer | None = None
+        self.tag = 0
         self.tried: tuple[TrackedServer, ...] = ()
         self.retransmission = 0
         self.next_request_counted = False
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,7 +1,7 @@
 """Places new flows on backend servers and forwards tagged packets."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Any
 
 from xxhash import xxh32_intdigest
@@ -10,12 +10,14 @@
 from magnoliaslip.registry.model import ServiceRoute
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
+from magnoliaslip.steering.flow_tags import FlowTags
 from magnoliaslip.steering.least_loaded_selector import LeastLoadedSelector
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
 from magnoliaslip.steering.pending_syns import PendingSyns
 from magnoliaslip.steering.reachability import SYN_ANSWER_TIMEOUT_S
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
+from magnoliaslip.steering.tags import flow_tag
 
 # State of a flow may be discarded when it is older than this, in seconds (protocol); a
 # removed server is kept for as long. The published idle time-out may be shorter.
@@ -36,10 +38,11 @@
     writes the tag of the chosen server into the SYN; the server repeats the tag in its
     answers, and the caller in all later packets.
 
-    A packet other than a SYN is dropped, not reset, if it has no usable tag or no
-    route: a server or a route that is missing from this instance's directory may still
-    exist. A packet with data is reset if its server is unreachable and its route
-    idempotent, because the caller can then retry the request on a new flow.
+    Routes apply to new flows only. A packet other than a SYN goes to the server that
+    its tag identifies, see `FlowTags`. It is dropped, not reset, if there is none: a
+    server that is missing from this instance's directory may still exist. A packet with
+    data is reset if its server is unreachable and its route idempotent, because the
+    caller can then retry the request on a new flow.
 
     Args:
         zone: Availability zone of this instance.
@@ -60,6 +63,7 @@
 
     __slots__ = (
         "_directory",
+        "_flow_tags",
         "_link",
         "_pending_syns",
         "_selector",
@@ -93,18 +97,20 @@
         self.instance_count = 1
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
+        self._flow_tags = FlowTags()
         self._pending_syns = PendingSyns(self.flows)
 
     def apply_directory(self, now: float) -> None:
         """Apply changes of the directory to the tracked servers."""
         self.servers.apply(self._directory, now)
+        self._flow_tags.update(self.servers)
 
     def on_tick(self, now: float) -> None:
         """Discard expired flows and servers; called about once a second."""
         table = self._directory.table
         idle_s = table.idle_timeout_s if table else MAX_FLOW_AGE_S
         self.flows.expire(now - min(idle_s, MAX_FLOW_AGE_S))
-        self.servers.apply(self._directory, now)
+        self.apply_directory(now)
 
     def handle(self, packet: TaggedPacket, now: float) -> None:
         """Forward, reset or drop one packet.
@@ -114,16 +120,13 @@
             now: Monotonic time in seconds.
         """
         table = self._directory.table
-        if table is None:
+        route = table.routes.get(packet.endpoint) if table else None
+        if not packet.flags & SYN:
+            self._forward(packet, route, now)
+        elif table is None:
             self._drop(packet, "no_table")
-            return
-        route = table.routes.get(packet.endpoint)
-        if packet.flags & SYN:
-            self._handle_syn(packet, route, now)
-        elif route is None:
-            self._drop(packet, "no_route", routes_version=table.version)
         else:
-            self._forward(packet, route, now)
+            self._handle_syn(packet, route, now)
 
     def preview(self, service: str, flow: bytes, now: float) -> TrackedServer | None:
         """Return the server for the SYN of a new flow, without placing the flow.
@@ -184,19 +187,13 @@
         ):
             entry = self.flows.create(packet.flow, now)
         elif packet.retransmission == entry.retransmission and entry.server is not None:
-            self._send(entry.server, packet)
+            self._send(entry.server, packet, entry.tag)
             return
         elif entry.server is not None:
             entry.tried += (entry.server,)
         service = self.service_of(route, packet.flow)
         tried = entry.tried + self._pending_syns.tried(packet.caller)
-        tracked = self._selector.choose(
-            self.servers.candidates(service),
-            packet.flow,
-            now,
-            tried=tried,
-            cold_opens_per_s=self._cold_opens_share_per_s(service),
-        )
+        tracked = self._choose(packet, service, tried, now)
         entry.retransmission = packet.retransmission
         entry.last_seen_at = now
         entry.server = tracked
@@ -216,28 +213,53 @@
             tried=[other.server.id for other in tried],
             revision=self._directory.revision,
         )
+        entry.tag = flow_tag(tracked.key, packet.endpoint)
         entry.next_request_counted = True
         tracked.record_placement(now)
         self._pending_syns.add(now, packet.flow, packet.caller, tracked)
-        self._send(tracked, packet)
+        self._send(tracked, packet, entry.tag)
 
-    def _forward(self, packet: TaggedPacket, route: ServiceRoute, now: float) -> None:
-        tracked = self.servers.find(packet.tag)
+    def _choose(
+        self,
+        packet: TaggedPacket,
+        service: str,
+        tried: Collection[TrackedServer],
+        now: float,
+    ) -> TrackedServer | None:
+        """Choose the server of a new flow; its tag must identify it."""
+        candidates = self.servers.candidates(service)
+        cold_opens_per_s = self._cold_opens_share_per_s(service)
+        while True:
+            tracked = self._selector.choose(
+                candidates,
+                packet.flow,
+                now,
+                tried=tried,
+                cold_opens_per_s=cold_opens_per_s,
+            )
+            if tracked is None or self._flow_tags.identifies(packet.endpoint, tracked):
+                return tracked
+            candidates = [other for other in candidates if other is not tracked]
+
+    def _forward(
+        self, packet: TaggedPacket, route: ServiceRoute | None, now: float
+    ) -> None:
         entry = self.flows.get(packet.flow)
         if entry is not None and entry.established and entry.server is not None:
             # A second server's answer to a retransmitted SYN may have changed the tag
             # after the flow was established.
-            tracked = entry.server
-        if tracked is None:
-            self._drop(packet, "unknown_tag", tag=packet.tag)
-            return
-        if not route.serves(tracked.server.service):
-            self._drop(packet, "foreign_tag", server=tracked.server.id)
-            return
+            tracked, tag = entry.server, entry.tag
+        else:
+            tag = packet.tag
+            tracked = self._flow_tags.find(packet.endpoint, tag)
+            if tracked is None:
+                self._drop(packet, "unknown_tag", tag=tag)
+                return
         if entry is None:
             entry = self.flows.create(packet.flow, now)
         self._track_answers(entry, tracked, packet, now)
-        if packet.data_bytes and route.idempotent and tracked.is_unreachable(now):
+        idempotent = route is not None and route.idempotent
+        if packet.data_bytes and idempotent and tracked.is_unreachable(now):
             # The caller retries the request on a new flow at once.
             self._reset(
                 packet,
@@ -248,7 +270,7 @@
             )
             self.flows.remove(packet.flow)
             return
-        self._send(tracked, packet)
+        self._send(tracked, packet, tag)
         if packet.flags & RST:
             self.flows.remove(packet.flow)
 
@@ -263,6 +285,7 @@
             entry.last_seen_at = now
             entry.established = True
             entry.server = tracked
+            entry.tag = packet.tag
             entry.ack = packet.ack
         elif is_after(packet.ack, entry.ack):
             entry.ack = packet.ack
@@ -338,6 +361,6 @@
         if self.on_evidence is not None:
             self.on_evidence()
 
-    def _send(self, tracked: TrackedServer, packet: TaggedPacket) -> None:
+    def _send(self, tracked: TrackedServer, packet: TaggedPacket, tag: int) -> None:
         self.counters["forwarded"] += 1
-        self._link.send_to_server(tracked.server, packet, tracked.tag)
+        self._link.send_to_server(tracked.server, packet, tag)
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -9,7 +9,7 @@
     UNREACHABLE_FLOWS_IN_PARTITION,
     Reachability,
 )
-from magnoliaslip.steering.tags import server_tag
+from magnoliaslip.steering.tags import server_key, server_tag
 from magnoliaslip.steering.warmup import WarmUpBudget
 
 # Time constant of the request rate in seconds: about one feed request per user.
@@ -49,7 +49,8 @@
 
     Attributes:
         server: Its registration.
-        tag: Tag that packets of its flows carry.
+        tag: Tag that digests name it by.
+        key: Key from which the tags of its flows are computed.
         registered: Whether the registration is still published.
         removed_at: Monotonic time in seconds at which the registration was removed;
             valid only while not `registered`.
@@ -64,6 +65,7 @@
 
     __slots__ = (
         "cold_until",
+        "key",
         "peer_requests_per_s",
         "reachability",
         "registered",
@@ -85,6 +87,7 @@
     ) -> None:
         self.server = server
         self.tag = server_tag(server)
+        self.key = server_key(server)
         self.registered = True
         self.removed_at = 0.0
         self.cold_until = cold_until
@@ -162,7 +165,7 @@
 class ServerSet:
     """All servers that packets may be sent to.
 
-    A removed server keeps its tag for `retention_s`, as it may still hold flows. Each
+    A removed server keeps its tags for `retention_s`, as it may still hold flows. Each
     packet names the server that it is meant for, so no other server accepts it.
 
     Args:
@@ -205,7 +208,7 @@
                 self._by_service.setdefault(server.service, []).append(tracked)
 
     def find(self, tag: int) -> TrackedServer | None:
-        """Return the server with a tag."""
+        """Return the server that digests name by a tag."""
         return self._by_tag.get(tag)
 
     def candidates(self, service: str) -> list[TrackedServer]:
@@ -233,8 +236,8 @@
                 server, cold_until=cold_until, zone_reachability=zone_reachability
             )
             self._by_incarnation[server.incarnation] = tracked
-            # If two servers have the same tag, the first one keeps it and the other
-            # gets no flows.
+            # If two servers have the same tag, digests report the first one only, and
+            # the other gets no flows.
             self._by_tag.setdefault(tracked.tag, tracked)
         elif tracked.server is not server:
             tracked.server = server
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -150,3 +150,21 @@
 def test_any_item_is_decoded_or_ignored(key, value, removed):
     text = value if isinstance(value, str) else b64encode(value).decode()
     decode_item({"key": key, "value": text, "removed": removed})
+
+
+@pytest.mark.parametrize(
+    ("kind", "idempotent"),
+    [
+        ("idempotent", True),
+        ("download", True),
+        ("non_idempotent", False),
+        ("upload", False),
+        ("unheard-of", False),
+    ],
+)
+def test_type_of_a_route_states_whether_callers_may_repeat_requests(kind, idempotent):
+    # A download that can't be completed is repeated elsewhere; an upload never is.
+    route = ROUTES_ENTRY["routes"][0] | {"type": kind}
+    change = decode_item(encode_item("op/config", ROUTES_ENTRY | {"routes": [route]}))
+    (decoded,) = change.table.routes.values()
+    assert decoded.idempotent is idempotent
