Spread digests to a bounded number of instances in large fleets

Cause: a digest listed the same 16 live peers, so most of 195 instances knew 18 and 90 to 127 believed that they were among the 12 watchers of the store; knowing all by sending to all would take 436 KB/s and most of a core in a cut (figures of the issue). Change: members of the own zone are known by heartbeats that travel in digests to four random members a period; other zones by reports that about three instances of a zone send to each other zone. Evidence merges by its newest observations, each with a name that keeps the time of its first arrival; loads are scaled up from a sample; small changes of the directory travel in digests. Members that can't read the store don't watch it. Fleets of up to 20 send to all, as before. The size of the fleet is kept while nobody is heard.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -6,51 +6,121 @@
 from magnoliaslip.core.errors import PeerError
 
 MAX_DIGEST_BYTES = 1400  # fits into one datagram on all common paths
-DIGEST_FORMAT = 2
-MAX_ANSWER_AGE_MS = 60_000  # limit of `heard_ms`: the maximum lifetime of a flow
+DIGEST_FORMAT = 3
+# Reports of zones are passed on, so their size is checked.
+MAX_REPORT_ITEMS = 16
+MAX_AGE_MS = 60_000  # limit of all ages: the maximum lifetime of a flow
 
 
-class ServerDigest(Struct, array_like=True, frozen=True):
-    """Observations of one instance about one backend server.
+class ServerLoad(Struct, array_like=True, frozen=True):
+    """Requests of one instance to one backend server.
 
     Attributes:
         tag: Tag of the server.
         load: Load that the instance forwards to it, in tenths of a request per second.
-        suspect: Whether packets to it remain unanswered.
-        silent: Number of flows with unanswered data; 0 when the evidence is not fresh.
-        heard_ms: Milliseconds since a flow of the instance last received an answer
-            from it, at most `MAX_ANSWER_AGE_MS`.
+        answer_ms: Milliseconds since a flow of the instance last received an answer
+            from it, at most `MAX_AGE_MS`.
     """
 
     tag: int
     load: int = 0
-    suspect: bool = False
-    silent: int = 0
-    heard_ms: int = MAX_ANSWER_AGE_MS
+    answer_ms: int = MAX_AGE_MS
+
+
+class ServerEvidence(Struct, array_like=True, frozen=True):
+    """Evidence of the instances of one zone that a server is unreachable.
+
+    Attributes:
+        tag: Tag of the server.
+        in_zone: Whether it was observed in the zone of the sender; otherwise in the
+            zone of the server.
+        evidence_id: Names the last evidence, see `evidence_table.observation_id`.
+        evidence_ms: Milliseconds since the last evidence.
+        answer_id: Names the last answer to an instance of that zone.
+        answer_ms: Milliseconds since then; `MAX_AGE_MS` if there was none.
+        flows: Hashes of flows with unanswered data; empty if the evidence is not fresh.
+    """
+
+    tag: int
+    in_zone: bool
+    evidence_id: int
+    evidence_ms: int
+    answer_id: int = 0
+    answer_ms: int = MAX_AGE_MS
+    flows: tuple[int, ...] = ()
+
+
+class MemberEntry(Struct, array_like=True, frozen=True):
+    """What the sender knows of one instance of its zone.
+
+    Attributes:
+        host: Its IP address, packed.
+        heartbeat: The highest number that it has sent.
+        leaving: Whether it is about to stop.
+        reads_store: Whether its last read of the store succeeded.
+    """
+
+    host: bytes
+    heartbeat: int
+    leaving: bool = False
+    reads_store: bool = True
+
+
+class ZoneReport(Struct, array_like=True, frozen=True):
+    """Summary of the instances of one availability zone, by one of them.
+
+    Attributes:
+        zone: The availability zone.
+        number: Heartbeat of the author; a higher number is newer.
+        count: Its instances, including those that are silent but may still run.
+        live: Its live instances.
+        hosts: Packed IP addresses of some live instances.
+        loads: Requests that they forward to each group of servers (see `server_group`),
+            in tenths of a request per second.
+    """
+
+    zone: str
+    number: int
+    count: int
+    live: int
+    hosts: tuple[bytes, ...] = ()
+    loads: tuple[tuple[int, int], ...] = ()
 
 
 class Digest(Struct, array_like=True, frozen=True):
-    """The state of one instance.
+    """The state of one instance, and what it knows of others.
 
     Attributes:
         format: Version of this format.
         zone: Availability zone of the instance.
-        started_ms: Start time of its process in Unix milliseconds.
+        heartbeat: Increases in every period; a restarted process continues above its
+            predecessor.
         revision: Revision of its directory.
-        routes_version: Version of its routes; 0 when it has none.
         leaving: Whether it is about to stop.
-        servers: Servers that it sends requests to or suspects.
-        peers: IP addresses of other live instances.
+        joining: Whether it has just started and asks for a digest in return.
+        reads_store: Whether its last read of the store succeeded.
+        loads: Servers that it sends requests to.
+        evidence: Servers that are suspect.
+        members: Some instances of its zone.
+        zones: Summaries of its zone and of some others.
+        changes_after: Revision that `changes` follow.
+        changes: The latest changes of the directory, encoded; empty if there were none
+            lately, or too many.
     """
 
     format: int
     zone: str
-    started_ms: int
+    heartbeat: int
     revision: int
-    routes_version: int
-    leaving: bool
-    servers: tuple[ServerDigest, ...] = ()
-    peers: tuple[str, ...] = ()
+    leaving: bool = False
+    joining: bool = False
+    reads_store: bool = True
+    loads: tuple[ServerLoad, ...] = ()
+    evidence: tuple[ServerEvidence, ...] = ()
+    members: tuple[MemberEntry, ...] = ()
+    zones: tuple[ZoneReport, ...] = ()
+    changes_after: int = 0
+    changes: bytes = b""
 
 
 _ENCODER = Encoder()
@@ -70,11 +140,40 @@
     """
     try:
         digest = _DECODER.decode(data)
-    except (DecodeError, ValidationError) as exc:
+    except (DecodeError, ValidationError, RecursionError) as exc:
         raise PeerError(f"the datagram is not a valid digest: {exc}") from exc
     if digest.format != DIGEST_FORMAT:
         raise PeerError(
             f"digest format {digest.format} is not supported",
             remedy="run the same version on all instances",
         )
+    numbers = [digest.heartbeat, digest.revision, digest.changes_after]
+    for load in digest.loads:
+        numbers += (load.load, load.answer_ms)
+    for item in digest.evidence:
+        numbers += (item.evidence_ms, item.answer_ms)
+    numbers += [member.heartbeat for member in digest.members]
+    for report in digest.zones:
+        numbers += (report.number, report.count, report.live)
+    if min(numbers) < 0:
+        raise PeerError("the digest contains a negative number")
+    hosts = [member.host for member in digest.members]
+    for report in digest.zones:
+        hosts += report.hosts
+    if any(
+        len(report.hosts) > MAX_REPORT_ITEMS or len(report.loads) > MAX_REPORT_ITEMS
+        for report in digest.zones
+    ):
+        raise PeerError("the digest contains a zone report of too many items")
+    if any(len(host) not in (4, 16) for host in hosts):
+        raise PeerError("the digest contains a host that is not an IP address")
     return digest
+
+
+def age_ms(moment: float, now: float) -> int:
+    """Return the age of a moment in milliseconds, from 0 to `MAX_AGE_MS`.
+
+    >>> age_ms(1.0, 1.5), age_ms(float("-inf"), 1.5)
+    (500, 60000)
+    """
+    return round(min(MAX_AGE_MS, max(0.0, (now - moment) * 1000)))
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 from logging import getLogger
 from random import Random
-from time import time
+from time import monotonic, time
 
 from anyio import sleep
 
@@ -26,7 +26,9 @@
 # time within which a change must be in force (platform: 3 s).
 CHANGE_BATCH_DELAY_S = 0.3
 # An instance that does not watch the store queries it at this interval in seconds.
-POLL_INTERVAL_S = 10.0
+POLL_INTERVAL_S = 30.0
+# An instance whose reads fail for this time in seconds leaves the watching to others.
+STORE_FAILURE_TOLERANCE_S = 1.5
 # Interval in seconds at which it checks whether it has to watch again.
 WATCH_CHECK_INTERVAL_S = 0.5
 # Delays in seconds after failed reads: the initial one is doubled up to the maximum.
@@ -63,6 +65,7 @@
         "_rng",
         "_store_client",
         "_store_down",
+        "_store_down_since",
         "_watches_store",
         "_watching",
         "calls",
@@ -85,6 +88,7 @@
         self._watches_store = watches_store
         self._backoff = INITIAL_BACKOFF_S
         self._store_down = False
+        self._store_down_since = 0.0
         self._watching = False
         self.calls = 0
         self.state_since = time()
@@ -97,6 +101,13 @@
         """
         return not self._store_down
 
+    @property
+    def reads_store(self) -> bool:
+        """Whether this instance can watch the store for others."""
+        return not self._store_down or (
+            monotonic() - self._store_down_since < STORE_FAILURE_TOLERANCE_S
+        )
+
     async def run(self) -> None:
         """Read until cancelled; skips the list if the directory was read before."""
         listed = self._directory.revision > 0
@@ -161,6 +172,7 @@
     async def _back_off(self, exc: PlatformError) -> None:
         if not self._store_down:
             self._store_down = True
+            self._store_down_since = monotonic()
             self.state_since = time()
             log_event(logger, Event.PLATFORM_DOWN, error=exc)
         await sleep(self._backoff * self._rng.uniform(0.5, 1.0))
--- a/src/magnoliaslip/runtime/metrics_page.py
+++ b/src/magnoliaslip/runtime/metrics_page.py
@@ -28,6 +28,7 @@
     "servers": "Registered backend servers.",
     "suspect_servers": "Backend servers that new flows avoid.",
     "live_instances": "Other instances that are heard.",
+    "fleet_size": "Instances that may be running, this one included.",
     "flows": "Flows of which something is remembered.",
     "ready": "Whether the instance is ready, 1 or 0.",
     "watches_store": "Whether the instance watches the store for its zone, 1 or 0.",
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -36,6 +36,7 @@
 from magnoliaslip.runtime.settings import SteeringSettings
 from magnoliaslip.runtime.start_times import StartTimes
 from magnoliaslip.steering.decisions import DecisionBuffer
+from magnoliaslip.steering.reachability import CORRECTION_TIME_S
 
 if TYPE_CHECKING:
     from magnoliaslip.runtime.status_builder import StatusBuilder
@@ -95,11 +96,12 @@
         self._directory_changed_at = self._clock.wall()
         self._metrics = Metrics()
         self._metrics_page = MetricsPage(self._read_metrics, self._metrics)
+        self._rng = rng or Random()
         self._reader = RegistryReader(
             store_client,
             forwarder.directory,
             on_change=self._on_directory_change,
-            rng=rng or Random(),
+            rng=self._rng,
             watches_store=self._watches_store,
         )
         self._log_handler = self._start_logging()
@@ -128,7 +130,10 @@
                 directory=self._forwarder.directory,
                 servers=self._forwarder.router.servers,
                 clock=self._clock,
+                rng=self._rng,
+                reads_store=lambda: self._reader.reads_store,
                 on_newer_revision=snapshot_fetcher.on_newer_revision,
+                on_directory_change=self._on_directory_change,
             )
             self._forwarder.router.on_evidence = self._gossip.announce
             metrics = Address(cfg.control.host, cfg.metrics_port)
@@ -191,9 +196,7 @@
     def _on_directory_change(self) -> None:
         self._forwarder.apply_directory()
         self._directory_changed_at = self._clock.wall()
-        if self._watches_store():
-            # Instances that do not watch the store then fetch the new revision.
-            self._gossip.announce()
+        self._gossip.announce_directory()
         self._log_directory()
 
     def _log_directory(self) -> None:
@@ -247,7 +250,7 @@
             store_since=self._reader.state_since,
             watches_store=self._watches_store(),
             flows=len(self._forwarder.router.flows),
-            instances=builder.instances(self._gossip.peers),
+            instances=builder.instances(self._gossip.members),
             servers=builder.servers(),
         )
 
@@ -293,7 +296,8 @@
             "suspect_servers": sum(
                 not tracked.admits(now) for tracked in router.servers
             ),
-            "live_instances": len(self._gossip.peers.live(now)),
+            "live_instances": len(self._gossip.members.live(now)),
+            "fleet_size": self._gossip.members.fleet_size,
             "flows": len(router.flows),
             "ready": int(self._ready),
             "watches_store": int(self._watches_store()),
@@ -306,7 +310,9 @@
             router = self._forwarder.router
             router.on_tick(self._clock.monotonic())
             # Includes instances that are not live: in a partition they keep running.
-            router.instance_count = 1 + len(self._gossip.peers)
+            members = self._gossip.members
+            router.instance_count = members.fleet_size
+            router.correction_time_s = 0.0 if members.is_mesh else CORRECTION_TIME_S
             self._log_handler.report_suppressed()
 
     async def _handle_signals(self) -> None:
--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -5,7 +5,7 @@
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
-from magnoliaslip.gossip.peers import PeerTable
+from magnoliaslip.gossip.membership import Membership
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import Endpoint
 from magnoliaslip.runtime.status import (
@@ -43,19 +43,20 @@
         statuses = [self._server_status(tracked) for tracked in self._router.servers]
         return sorted(statuses, key=lambda status: (status.service, status.id))
 
-    def instances(self, peers: PeerTable) -> list[SteeringPeerStatus]:
-        """Return the status of the other instances, sorted by address."""
+    def instances(self, members: Membership) -> list[SteeringPeerStatus]:
+        """Return the status of the other known instances, sorted by address."""
+        live = {member.host for member in members.live(self._now)}
         return sorted(
             (
                 SteeringPeerStatus(
-                    host=peer.host,
-                    zone=peer.digest.zone if peer.digest else "",
-                    live=peer.is_live(self._now),
-                    heard_at=self._unix_time(peer.last_received_at)
-                    if peer.digest
+                    host=member.host,
+                    zone=member.zone,
+                    live=member.host in live,
+                    heard_at=self._unix_time(member.advanced_at)
+                    if member.heartbeat
                     else 0.0,
                 )
-                for peer in peers
+                for member in members
             ),
             key=lambda status: status.host,
         )
--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -1,5 +1,7 @@
 """Evidence on whether a backend server is reachable from this instance."""
 
+from collections.abc import Collection
+
 # A server is suspect when this many flows are unresponsive: they retransmitted data and
 # no flow got an answer since. A single loss on one flow is not enough, whereas a single
 # unanswered SYN is.
@@ -15,6 +17,10 @@
 # evidence, so packets must go to the server again afterwards; the platform tolerates a
 # wrong assessment for 4 s after a path has recovered.
 EVIDENCE_MAX_AGE_S = 1.0
+# In a large fleet, flows are not reset before the first of them has been unresponsive
+# here for this time in seconds: an instance that gets answers from the server learns of
+# the evidence and corrects it by way of other instances.
+CORRECTION_TIME_S = 0.35
 # A caller retransmits an unanswered packet after this time in seconds (protocol).
 RETRANSMISSION_TIMEOUT_S = 0.2
 # Time in seconds after which a SYN counts as unanswered: the caller was refused, or the
@@ -48,6 +54,7 @@
         "_next_probe_at",
         "_unanswered_syns",
         "_unresponsive",
+        "_unresponsive_since",
         "peer_unresponsive_flows",
         "suspect",
         "suspect_since",
@@ -57,6 +64,7 @@
         self._last_answer_at = float("-inf")
         self._last_peer_answer_at = float("-inf")
         self._unresponsive: set[bytes] = set()
+        self._unresponsive_since = 0.0
         self._unanswered_syns: set[bytes] = set()
         self._last_evidence_at = float("-inf")
         self._next_probe_at = 0.0
@@ -98,6 +106,8 @@
         """
         if self._last_answer_at > now - RETRANSMISSION_TIMEOUT_S:
             return False
+        if not self.unresponsive(now):
+            self._unresponsive_since = now
         self._unresponsive.add(flow)
         self._last_evidence_at = now
         return len(self._unresponsive) >= SUSPECT_FLOWS and self._mark_suspect(now)
@@ -108,13 +118,20 @@
         Unanswered SYNs are excluded: a server at its connection limit does not answer
         them, while its established flows continue.
         """
-        return (
-            len(self._unresponsive)
-            if now - self._last_evidence_at < EVIDENCE_MAX_AGE_S
-            else 0
-        )
-
-    def is_unreachable(self, now: float, *, flows: int = UNREACHABLE_FLOWS) -> bool:
+        return len(self.unresponsive(now))
+
+    def unresponsive(self, now: float) -> Collection[bytes]:
+        """Return the flows with unanswered data, if the evidence is fresh."""
+        fresh = now - self._last_evidence_at < EVIDENCE_MAX_AGE_S
+        return self._unresponsive if fresh else ()
+
+    def is_unreachable(
+        self,
+        now: float,
+        *,
+        flows: int = UNREACHABLE_FLOWS,
+        correction_time_s: float = 0.0,
+    ) -> bool:
         """Check whether enough flows are unresponsive, at least one of them here.
 
         False while another instance of this instance's zone gets answers from the
@@ -123,10 +140,14 @@
         Args:
             now: Monotonic time in seconds.
             flows: Number of unresponsive flows that is enough.
+            correction_time_s: Seconds for which the first of them must have been
+                unresponsive here.
         """
         own = self.unresponsive_flows(now)
         if not own or own + self.peer_unresponsive_flows < flows:
             return False
+        if now - self._unresponsive_since < correction_time_s:
+            return False
         # If another instance got an answer after the retransmitted data was first sent
         # here, the server is only slow.
         return (
@@ -162,6 +183,11 @@
         """Monotonic time in seconds of the last answer; -inf before the first."""
         return self._last_answer_at
 
+    @property
+    def last_evidence_at(self) -> float:
+        """Monotonic time in seconds of the last evidence; -inf before the first."""
+        return self._last_evidence_at
+
     def record_peer_answer(self, moment: float) -> None:
         """Record when another instance of this instance's zone last got an answer.
 
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -53,6 +53,8 @@
 
     Attributes:
         zone: Availability zone of this instance.
+        correction_time_s: Time in seconds that other instances have to correct the
+            evidence against a server before its flows are reset.
         instance_count: Instances that share the budgets of cold servers, including
             this one.
         observe: Called with the name of a histogram and a duration in seconds.
@@ -67,6 +69,7 @@
         "_link",
         "_pending_syns",
         "_selector",
+        "correction_time_s",
         "counters",
         "flows",
         "instance_count",
@@ -95,6 +98,7 @@
         self.observe: Callable[[str, float], None] | None = None
         self.on_evidence: Callable[[], None] | None = None
         self.instance_count = 1
+        self.correction_time_s = 0.0
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         self._flow_tags = FlowTags()
@@ -259,7 +263,11 @@
             entry = self.flows.create(packet.flow, now)
         self._track_answers(entry, tracked, packet, now)
         idempotent = route is not None and route.idempotent
-        if packet.data_bytes and idempotent and tracked.is_unreachable(now):
+        if (
+            packet.data_bytes
+            and idempotent
+            and tracked.is_unreachable(now, correction_time_s=self.correction_time_s)
+        ):
             # The caller retries the request on a new flow at once.
             self._reset(
                 packet,
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -6,6 +6,7 @@
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import RegisteredServer
 from magnoliaslip.steering.reachability import (
+    UNREACHABLE_FLOWS,
     UNREACHABLE_FLOWS_IN_PARTITION,
     Reachability,
 )
@@ -149,13 +150,19 @@
         self.zone_reachability.record_unanswered_syn(flow, sent_at, now)
         return self.reachability.record_unanswered_syn(flow, sent_at, now)
 
-    def is_unreachable(self, now: float) -> bool:
-        """Check whether recent evidence of several flows shows it to be unreachable."""
-        if self.zone_reachability.is_partitioned(now):
-            return self.reachability.is_unreachable(
-                now, flows=UNREACHABLE_FLOWS_IN_PARTITION
-            )
-        return self.reachability.is_unreachable(now)
+    def is_unreachable(self, now: float, *, correction_time_s: float = 0.0) -> bool:
+        """Check whether recent evidence of several flows shows it to be unreachable.
+
+        Args:
+            now: Monotonic time in seconds.
+            correction_time_s: See `Reachability.is_unreachable`.
+        """
+        partitioned = self.zone_reachability.is_partitioned(now)
+        return self.reachability.is_unreachable(
+            now,
+            flows=UNREACHABLE_FLOWS_IN_PARTITION if partitioned else UNREACHABLE_FLOWS,
+            correction_time_s=correction_time_s,
+        )
 
     def load(self, now: float) -> float:
         """Return requests per second and slot over all instances."""
