Keep a malformed message or an unexpected error from ending a process

Change: targets and fields are checked where they are decoded; an unexpected error with one packet or request is logged with its traceback (UNEXPECTED_ERROR), counted, and the rest goes on; a task that fails is started again after 0.5 s. A SIGTERM during the start is read after the handler of the event loop is installed.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -25,6 +25,7 @@
     LOG_LIMITED = (105, WARNING, "log lines were suppressed, counted by event")
     SETTINGS_RELOADED = (106, INFO, "the settings file was read again")
     SETTINGS_KEPT = (107, ERROR, "the changed settings are invalid; the old ones stay")
+    UNEXPECTED_ERROR = (108, WARNING, "an unexpected error was caught; work goes on")
     CONFIG_IN_FORCE = (200, INFO, "a snapshot came into force")
     CONFIG_REJECTED = (201, ERROR, "a published set was rejected as a whole")
     CONFIG_STALE = (202, WARNING, "an older version was ignored")
--- a/src/magnoliaslip/core/field_reader.py
+++ b/src/magnoliaslip/core/field_reader.py
@@ -5,6 +5,7 @@
 T = TypeVar("T")
 
 _MISSING: Any = object()
+_NUMBER_LIMIT = 1 << 63
 
 
 def read_field(
@@ -16,7 +17,8 @@
     """Return a field that has the expected type.
 
     Raises:
-        ValueError: The field is missing and has no default, or has another type.
+        ValueError: The field is missing and has no default, has another type, or is a
+            number that is not finite or has more than 63 bits.
     """
     if not isinstance(entry, dict):
         raise ValueError("the entry is not a JSON object")
@@ -25,4 +27,6 @@
         raise ValueError(f"field {name!r} is missing")
     if not isinstance(value, expected_type) or isinstance(value, bool):
         raise ValueError(f"field {name!r} has the wrong type")
+    if isinstance(value, int | float) and not abs(value) < _NUMBER_LIMIT:
+        raise ValueError(f"field {name!r} is not a number of up to 63 bits")
     return value
--- a/src/magnoliaslip/core/http_server.py
+++ b/src/magnoliaslip/core/http_server.py
@@ -32,6 +32,8 @@
 from msgspec.json import encode
 
 from magnoliaslip.core.address import Address
+from magnoliaslip.core.error_text import error_text
+from magnoliaslip.core.events import Event, log_event
 
 RECEIVE_BYTES = 65_536
 MAX_REQUEST_BODY_BYTES = 2 << 20
@@ -41,12 +43,22 @@
 
 @dataclass(slots=True, frozen=True)
 class HttpRequest:
-    """A request as passed to a handler."""
+    """A request as passed to a handler.
+
+    Attributes:
+        method: HTTP method.
+        path: Decoded path of the target.
+        query: Parameters of the target.
+        body: The content.
+        target_error: Why the target can't be decoded; such a request gets status 400
+            and is not passed to the handler.
+    """
 
     method: str
     path: str
     query: dict[str, str] = field(default_factory=dict)
     body: bytes = b""
+    target_error: str = ""
 
 
 @dataclass(slots=True, frozen=True)
@@ -88,7 +100,8 @@
     Args:
         address: Address to bind, or a socket that already listens.
         handler: Answers a request. A `ValueError` or `KeyError` becomes a response
-            with status 400.
+            with status 400, any other unexpected error is logged and becomes one with
+            status 500.
         task_status: Notified when the server listens.
 
     Raises:
@@ -122,10 +135,7 @@
         req = await _receive_request(conn, stream)
         if req is None:
             return
-        try:
-            response = await handler(req)
-        except (ValueError, KeyError) as exc:
-            response = HttpResponse.json({"error": str(exc)}, status=400)
+        response = await _answer(req, handler)
         headers = [*response.headers, ("Content-Length", str(len(response.body)))]
         data = conn.send(Response(status_code=response.status, headers=headers))
         if response.status != 304:
@@ -136,6 +146,20 @@
         conn.start_next_cycle()
 
 
+async def _answer(req: HttpRequest, handler: Handler) -> HttpResponse:
+    try:
+        if req.target_error:
+            raise ValueError(req.target_error)
+        return await handler(req)
+    except (ValueError, KeyError) as exc:
+        return HttpResponse.json({"error": str(exc)}, status=400)
+    except DropConnection:
+        raise
+    except Exception:
+        log_event(logger, Event.UNEXPECTED_ERROR, path=req.path, error=error_text())
+        return HttpResponse.json({"error": "internal error"}, status=500)
+
+
 async def _receive_request(
     conn: Connection, stream: SocketStream
 ) -> HttpRequest | None:
@@ -155,9 +179,15 @@
             if len(body) > MAX_REQUEST_BODY_BYTES:
                 raise DropConnection
         elif isinstance(event, EndOfMessage) and head is not None:
-            url = urlsplit(head.target.decode("ascii"))
-            query = dict(parse_qsl(url.query))
-            method = head.method.decode("ascii")
-            return HttpRequest(method, unquote(url.path), query, bytes(body))
+            return _decode_request(head, bytes(body))
         elif event is PAUSED or isinstance(event, ConnectionClosed):
             return None
+
+
+def _decode_request(head: Request, body: bytes) -> HttpRequest:
+    method = head.method.decode("ascii")
+    try:
+        url = urlsplit(head.target.decode("ascii"))
+        return HttpRequest(method, unquote(url.path), dict(parse_qsl(url.query)), body)
+    except ValueError as exc:
+        return HttpRequest(method, "", target_error=f"invalid target: {exc}")
--- a/src/magnoliaslip/core/json_log.py
+++ b/src/magnoliaslip/core/json_log.py
@@ -12,7 +12,7 @@
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.events import Event, log_event
 
-# Longer lines are truncated: writes of up to this length to a pipe are atomic.
+# Fields of longer lines are cut: writes of up to this length to a pipe are atomic.
 MAX_LINE_BYTES = 4096
 
 _ENCODER = Encoder(enc_hook=str)
@@ -94,7 +94,7 @@
             line |= {"logger": record.name, "message": record.getMessage()}
             if record.exc_info and record.exc_info[1] is not None:
                 line["error"] = repr(record.exc_info[1])
-        data = _ENCODER.encode(line)[: MAX_LINE_BYTES - 1] + b"\n"
+        data = _encode_line(line)
         try:
             write(self._fd, data)
             self.written += 1
@@ -109,3 +109,16 @@
             counts = dict(suppressed)
             suppressed.clear()
             log_event(logger, Event.LOG_LIMITED, left_out=counts)
+
+
+def _encode_line(line: dict[str, object]) -> bytes:
+    """Encode a line; the longest fields are cut until it is short enough."""
+    data = _ENCODER.encode(line)
+    while len(data) >= MAX_LINE_BYTES:
+        texts = {name: _ENCODER.encode(value) for name, value in line.items()}
+        longest = max(line, key=lambda name: len(texts[name]))
+        value = line[longest]
+        text = value if isinstance(value, str) else texts[longest].decode()
+        line = line | {longest: text[: len(text) // 2] + "..."}
+        data = _ENCODER.encode(line)
+    return data + b"\n"
--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -5,6 +5,7 @@
 from socket import socket as Socket  # noqa: N812
 
 from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.error_text import error_text
 from magnoliaslip.core.errors import PacketError
 from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS
 from magnoliaslip.registry.directory import Directory
@@ -71,11 +72,15 @@
         now = self._clock.monotonic()
         for datagram in datagrams:
             try:
-                packet = self._decode(datagram)
+                self.router.handle(self._decode(datagram), now)
             except PacketError:
                 self.counters["drop_malformed"] += 1
-                continue
-            self.router.handle(packet, now)
+            except Exception:
+                # A fault that one packet triggers must not stop all others.
+                self.counters["drop_error"] += 1
+                self.router.log.record(
+                    "UNEXPECTED_ERROR", datagram=datagram[:64].hex(), error=error_text()
+                )
         if len(datagrams) < BATCH_DATAGRAMS:
             self.router.on_receive_queue_empty(now)
 
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -1,5 +1,6 @@
 """Instance that steers by server tags, as tasks of an event loop."""
 
+from collections.abc import Awaitable, Callable
 from contextlib import AsyncExitStack
 from logging import getLogger
 from os import PathLike
@@ -15,6 +16,7 @@
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock, SystemClock
+from magnoliaslip.core.error_text import error_text
 from magnoliaslip.core.errors import SettingsError
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.http_server import HttpRequest, HttpResponse, serve_http
@@ -42,6 +44,7 @@
     from magnoliaslip.runtime.status_builder import StatusBuilder
 
 TICK_PERIOD_S = 1.0
+TASK_RESTART_DELAY_S = 0.5
 # Time in seconds for which packets are still forwarded after a stop was requested. The
 # fabric removes an instance after two failed polls, 0.5 s apart.
 SHUTDOWN_DELAY_S = 1.5
@@ -53,6 +56,25 @@
 logger = getLogger(__name__)
 
 
+async def run_until_cancelled(run_task: Callable[[], Awaitable[None]]) -> None:
+    """Run a task that never ends; an unexpected error is logged, and it starts again.
+
+    A fault of one task, such as the exchange of digests, must not end the forwarding of
+    packets.
+    """
+    while True:
+        try:
+            await run_task()
+        except Exception:
+            log_event(
+                logger,
+                Event.UNEXPECTED_ERROR,
+                task=getattr(run_task, "__qualname__", ""),
+                error=error_text(),
+            )
+            await sleep(TASK_RESTART_DELAY_S)
+
+
 class SteeringInstance:
     """Packet path, registry reader, gossip and HTTP endpoints of one instance.
 
@@ -63,7 +85,8 @@
         store_client: Reads the platform's store.
         settings_path: File that is read again on SIGHUP.
         readiness: Listening socket for readiness polls of the fabric.
-        stop_requested: Whether a stop was requested during the start.
+        stop_requested: Returns whether a stop was requested before this instance
+            handles signals itself.
         start_times: Times of the start, for the log.
         clock: Source of time.
         rng: Source of jitter.
@@ -78,7 +101,7 @@
         store_client: StoreClient,
         settings_path: str | PathLike[str],
         readiness: Socket,
-        stop_requested: bool = False,
+        stop_requested: Callable[[], bool] = lambda: False,
         start_times: StartTimes | None = None,
         clock: Clock | None = None,
         rng: Random | None = None,
@@ -90,8 +113,7 @@
         self._adapter = adapter
         self._clock = clock or SystemClock()
         self._stop = Signal()
-        if stop_requested:
-            self._stop.set()
+        self._stop_requested = stop_requested
         self._start_times = start_times
         self._directory_changed_at = self._clock.wall()
         self._metrics = Metrics()
@@ -139,17 +161,18 @@
             metrics = Address(cfg.control.host, cfg.metrics_port)
             tasks = await stack.enter_async_context(create_task_group())
             tasks.start_soon(self._handle_signals)
-            tasks.start_soon(
-                read_batches, self._forwarder.sock, self._forwarder.handle_batch
-            )
-            tasks.start_soon(self._reader.run)
             tasks.start_soon(serve_http, self._readiness, self._answer_readiness)
-            tasks.start_soon(snapshot_fetcher.run)
             tasks.start_soon(serve_http, cfg.control, self._answer_control)
-            tasks.start_soon(self._gossip.receive)
-            tasks.start_soon(self._gossip.send_periodically)
             tasks.start_soon(serve_http, metrics, self._answer_metrics)
-            tasks.start_soon(self._tick)
+            for run_task in (
+                self._forward_packets,
+                self._reader.run,
+                snapshot_fetcher.run,
+                self._gossip.receive,
+                self._gossip.send_periodically,
+                self._tick,
+            ):
+                tasks.start_soon(run_until_cancelled, run_task)
             log_event(
                 logger,
                 Event.INSTANCE_STARTED,
@@ -258,6 +281,9 @@
         """Explain a flow; `serve_http` answers ValueError and KeyError with 400."""
         caller = Address.parse(req.query["caller"])
         endpoint = Address.parse(req.query["endpoint"])
+        for address in (caller, endpoint):
+            if ":" in address.host:
+                raise ValueError(f"{address} is not an IPv4 address")
         flow = self._adapter.flow_key(caller, endpoint)
         return self._status_builder().explain(self._cfg.id, flow, endpoint)
 
@@ -304,6 +330,9 @@
             "store_answers": int(self._reader.store_available),
         }
 
+    async def _forward_packets(self) -> None:
+        await read_batches(self._forwarder.sock, self._forwarder.handle_batch)
+
     async def _tick(self) -> None:
         while True:
             await sleep(TICK_PERIOD_S)
@@ -317,6 +346,8 @@
 
     async def _handle_signals(self) -> None:
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
+            if self._stop_requested():
+                self._stop.set()
             async for signal in signals:
                 if signal == SIGHUP:
                     self._reload_settings()
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -135,7 +135,7 @@
         store_client=store_client,
         settings_path=path,
         readiness=listeners.readiness,
-        stop_requested=stop.requested,
+        stop_requested=lambda: stop.requested,
         start_times=times,
     )
     code = EXIT_STOPPED
--- a/src/magnoliaslip/runtime/startup_loop.py
+++ b/src/magnoliaslip/runtime/startup_loop.py
@@ -53,16 +53,16 @@
         sock = self.forwarder.sock
         readable = select([sock, self._readiness], [], [], timeout_s)[0]
         if self._readiness in readable:
-            self._answer_poll(self._readiness.accept()[0])
+            self._answer_poll()
         if sock in readable:
             self.forwarder.handle_batch(receive_batch(sock))
         return bool(readable)
 
-    def _answer_poll(self, conn: Socket) -> None:
-        with conn:
-            conn.settimeout(REQUEST_TIMEOUT_S)
-            try:
+    def _answer_poll(self) -> None:
+        try:
+            with self._readiness.accept()[0] as conn:
+                conn.settimeout(REQUEST_TIMEOUT_S)
                 conn.recv(MAX_REQUEST_BYTES)
                 conn.sendall(READY_RESPONSE)
-            except OSError:
-                return  # the fabric polls again after half a second
+        except OSError:
+            return  # the fabric polls again after half a second
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -8,18 +8,23 @@
 from hypothesis import strategies as st
 
 from fleet_adapter.entries import decode_item
+from fleet_adapter.packets import encode_server_id
+from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import (
     RegisteredServer,
     ServiceLimits,
     ServiceRoute,
     WeightedService,
 )
+from magnoliaslip.registry.snapshot import decode_snapshot, encode_snapshot
 from magnoliaslip.registry.store_client import (
+    ChangeBatch,
     RoutesChange,
     ServerChange,
     UnreadableEntry,
     ZoneChange,
 )
+from magnoliaslip.steering.servers import ServerSet
 
 SERVER_ENTRY = {
     "service": "desk",
@@ -168,3 +173,76 @@
     change = decode_item(encode_item("op/config", ROUTES_ENTRY | {"routes": [route]}))
     (decoded,) = change.table.routes.values()
     assert decoded.idempotent is idempotent
+
+
+ODD_NUMBERS = st.one_of(
+    st.sampled_from([float("inf"), float("-inf"), float("nan"), 1e300, -1, 0, True]),
+    st.integers(-(2**70), 2**70),
+    st.floats(),
+)
+ODD_VALUES = st.one_of(
+    ODD_NUMBERS, st.none(), st.text(max_size=5), st.lists(ODD_NUMBERS, max_size=2)
+)
+
+
+def use(change):
+    """Use a decoded change as an instance does, and pass it on to another."""
+    directory = Directory()
+    directory.apply(ChangeBatch(1, (change,)))
+    servers = ServerSet(retention_s=60)
+    servers.apply(directory, 100.0)
+    for tracked in servers:
+        assert len(encode_server_id(tracked.server.id)) == 8
+        tracked.record_placement(100.0)
+        assert tracked.load(100.5) >= 0
+    snapshot = decode_snapshot(encode_snapshot(directory))
+    copy = Directory()
+    copy.replace(snapshot.batch)
+    assert copy.servers == directory.servers
+
+
+@given(
+    st.sampled_from(sorted(SERVER_ENTRY)),
+    ODD_VALUES,
+    st.sampled_from(
+        ["i-0a", "i-" + "f" * 16, "i-" + "f" * 17, "i-", "x", "i--1", "-f"]
+    ),
+)
+def test_any_registration_is_used_or_unreadable(name, value, identifier):
+    # Guards against a value that decodes and then ends the process where it is used.
+    use(decode_item(encode_item(f"servers/{identifier}", SERVER_ENTRY | {name: value})))
+
+
+@pytest.mark.parametrize("value", [float("inf"), float("nan"), 1e300, 2**70, -1])
+def test_time_until_a_server_is_warm_is_finite(value):
+    change = decode_item(
+        encode_item("servers/i-0a", SERVER_ENTRY | {"warmup_remaining_ms": value})
+    )
+    if isinstance(change, ServerChange):
+        assert 0 <= change.server.cold_ms <= 3_600_000
+    else:
+        assert isinstance(change, UnreadableEntry)
+
+
+def test_identifier_of_more_than_16_hex_digits_registers_no_server():
+    # It does not fit the eight bytes before a packet that name the server.
+    change = decode_item(encode_item("servers/i-" + "f" * 17, SERVER_ENTRY))
+    assert isinstance(change, UnreadableEntry)
+
+
+@given(
+    st.sampled_from(["version", "routes", "services", "limits"]),
+    st.sampled_from(["host", "prefix", "type", "service", "weight", "name", "idle"]),
+    ODD_VALUES,
+)
+def test_any_routes_are_used_or_unreadable(part, name, value):
+    entry = dict(ROUTES_ENTRY)
+    if part in ("routes", "services"):
+        entry[part] = [item | {name: value} for item in entry[part]]
+        if name == "weight" and part == "routes":
+            entry[part][1]["traffic_split"] = [{"service": "d", "weight": value}]
+    elif part == "limits":
+        entry[part] = {"idle_timeout_ms": value}
+    else:
+        entry[part] = value
+    use(decode_item(encode_item("op/config", entry)))
