Place new flows by own load among the servers within a bound

With hundreds of instances the news is a sample, too. Change: news only excludes servers above 1.25 times the mean load; among the rest, own zone first, the one to which this instance forwards least, compared on a few servers of the flow's hash so that added servers are not rushed. The selector is named after it.

--- a/src/magnoliaslip/steering/bounded_load_selector.py
+++ b/src/magnoliaslip/steering/bounded_load_selector.py
@@ -1,21 +1,41 @@
 """Selection of a backend server for a new flow."""
 
 from collections.abc import Collection
+from heapq import nlargest
+from math import ceil
 
 from xxhash import xxh32_intdigest
 
 from magnoliaslip.steering.servers import TrackedServer
 
-# A server of the instance's own availability zone is preferred up to this multiple of
-# the mean load of the usable servers (bounded loads).
+# Servers whose load over all instances is above this multiple of the mean get no new
+# flows.
 LOAD_BOUND = 1.25
-# Servers whose loads differ by less than this share of the mean may rank in either
+# When all instances see a new server at once, each prefers it until it has its share.
+# About this many of them may do so; the others leave it out of the few servers that
+# they compare.
+RUSH_LIMIT = 4
+MIN_CHOICES = 2
+# Servers whose own loads differ by less than this share of the mean may rank in either
 # order, by a hash of the flow.
 LOAD_TOLERANCE = 0.1
 
 
-class LeastLoadedSelector:
-    """Chooses the least loaded server; prefers the own availability zone.
+class BoundedLoadSelector:
+    """Chooses the server with the least own load among those that are not overloaded.
+
+    Answers the load pattern of many instances that place flows by the same news. What
+    others forward to a server is known half a second late and from a sample, so the
+    least loaded server by that news is the same for all, and all place their flows on
+    it until the next news. The news therefore only excludes servers above a bound; the
+    choice among the rest is by what this instance itself forwards, which it knows at
+    once.
+
+    Servers that are added or return have no load at any instance. In a large fleet, a
+    flow is therefore compared on a few servers only, chosen by its hash, so that such a
+    server gets at most a few times the mean rate at first.
+
+    Servers of the own zone are preferred.
 
     Args:
         zone: Availability zone of this instance.
@@ -34,6 +54,7 @@
         *,
         tried: Collection[TrackedServer] = (),
         cold_opens_per_s: float = 0.0,
+        instance_count: int = 1,
     ) -> TrackedServer | None:
         """Choose a server; None when none may get the flow.
 
@@ -49,6 +70,7 @@
             tried: Servers that did not answer this flow, or another of its caller.
             cold_opens_per_s: New flows per second that this instance may place on a
                 cold server; 0 for no limit.
+            instance_count: Instances that place flows, this one included.
         """
         candidates = [
             tracked for tracked in candidates if tracked.counts_as_registered(now)
@@ -64,7 +86,7 @@
         )
         warm = [tracked for tracked in usable if tracked.cold_until <= now]
         if warm:
-            return self._least_loaded(warm, flow, now)
+            return self._choose_by_load(warm, flow, now, instance_count)
         if cold_opens_per_s:
             usable = [
                 tracked
@@ -73,24 +95,38 @@
             ]
         if not usable:
             return None
-        return self._least_loaded(usable, flow, now)
+        return self._choose_by_load(usable, flow, now, instance_count)
 
-    def _least_loaded(
-        self, usable: list[TrackedServer], flow: bytes, now: float
+    def _choose_by_load(
+        self,
+        usable: list[TrackedServer],
+        flow: bytes,
+        now: float,
+        instance_count: int,
     ) -> TrackedServer:
-        loads = {tracked.tag: tracked.load(now) for tracked in usable}
-        mean = sum(loads.values()) / len(loads)
-        tolerance = mean * LOAD_TOLERANCE + 1e-9
-
-        def score(tracked: TrackedServer) -> float:
-            return loads[tracked.tag] + _hash_fraction(flow, tracked.tag) * tolerance
-
-        same_zone = [tracked for tracked in usable if tracked.server.zone == self._zone]
-        if same_zone:
-            best = min(same_zone, key=score)
-            if loads[best.tag] <= LOAD_BOUND * mean + tolerance:
-                return best
-        return min(usable, key=score)
+        loads = [tracked.load(now) for tracked in usable]
+        bound = LOAD_BOUND * sum(loads) / len(loads) + 1e-9
+        admitting = [
+            tracked
+            for tracked, load in zip(usable, loads, strict=True)
+            if load <= bound
+        ]
+        choices = [
+            tracked for tracked in admitting if tracked.server.zone == self._zone
+        ] or admitting
+        count = max(MIN_CHOICES, ceil(len(choices) * RUSH_LIMIT / instance_count))
+        if count < len(choices):
+            choices = nlargest(
+                count, choices, key=lambda tracked: _hash_fraction(flow, tracked.tag)
+            )
+        own_loads = [tracked.own_load(now) for tracked in choices]
+        tolerance = LOAD_TOLERANCE * sum(own_loads) / len(own_loads) + 1e-9
+
+        def score(choice: tuple[TrackedServer, float]) -> float:
+            tracked, own_load = choice
+            return own_load + _hash_fraction(flow, tracked.tag) * tolerance
+
+        return min(zip(choices, own_loads, strict=True), key=score)[0]
 
 
 def _hash_fraction(flow: bytes, tag: int) -> float:
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -8,10 +8,10 @@
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import ServiceRoute
+from magnoliaslip.steering.bounded_load_selector import BoundedLoadSelector
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
 from magnoliaslip.steering.flow_tags import FlowTags
-from magnoliaslip.steering.least_loaded_selector import LeastLoadedSelector
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
 from magnoliaslip.steering.pending_syns import PendingSyns
@@ -92,7 +92,7 @@
         self.zone = zone
         self._directory = directory
         self._link = link
-        self._selector = LeastLoadedSelector(zone)
+        self._selector = BoundedLoadSelector(zone)
         self.counters = counters
         self.log = log
         self.observe: Callable[[str, float], None] | None = None
@@ -138,7 +138,12 @@
         Other unanswered SYNs of the caller and the rate limit of cold servers are
         ignored.
         """
-        return self._selector.choose(self.servers.candidates(service), flow, now)
+        return self._selector.choose(
+            self.servers.candidates(service),
+            flow,
+            now,
+            instance_count=self.instance_count,
+        )
 
     def on_receive_queue_empty(self, now: float) -> None:
         """Record SYNs that were not answered in time as evidence against servers.
@@ -240,6 +245,7 @@
                 now,
                 tried=tried,
                 cold_opens_per_s=cold_opens_per_s,
+                instance_count=self.instance_count,
             )
             if tracked is None or self._flow_tags.identifies(packet.endpoint, tracked):
                 return tracked
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -164,6 +164,10 @@
             correction_time_s=correction_time_s,
         )
 
+    def own_load(self, now: float) -> float:
+        """Return requests per second and slot that this instance forwards."""
+        return self.requests.per_s(now) / self.server.slots
+
     def load(self, now: float) -> float:
         """Return requests per second and slot over all instances."""
         return (self.requests.per_s(now) + self.peer_requests_per_s) / self.server.slots
