Handle what has arrived before the packet socket is closed

Cause: at a planned stop the event loop takes up to 0.1 s to end after the last task; SYNs that the kernel accepted meanwhile were lost with the socket (test with SYNs every 5 to 10 ms until the process ends: one of them lost that was sent more than 0.1 s before).

--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -7,7 +7,7 @@
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.error_text import error_text
 from magnoliaslip.core.errors import PacketError
-from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS
+from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS, receive_batch
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.steering.decisions import DecisionBuffer
 from magnoliaslip.steering.link import TaggedLink
@@ -84,6 +84,11 @@
         if len(datagrams) < BATCH_DATAGRAMS:
             self.router.on_receive_queue_empty(now)
 
+    def handle_pending(self) -> None:
+        """Handle all datagrams that have arrived."""
+        while batch := receive_batch(self.sock):
+            self.handle_batch(batch)
+
     def apply_directory(self) -> None:
         """Apply changes of the directory to the router."""
         self.router.apply_directory(self._clock.monotonic())
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -147,4 +147,6 @@
             file=stderr,
         )
         code = EXIT_ADDRESS_ERROR
+    # The event loop took time to end, and packets have arrived meanwhile.
+    forwarder.handle_pending()
     return code
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -124,6 +124,8 @@
         b'{"items": [5], "as_of": 1}',
         b'{"items": [{"value": ""}], "as_of": 1}',
         b"[" * 100_000,
+        # Without its last pages, a list would remove the servers on them.
+        b'{"items": [], "as_of": 1, "has_more": true}',
     ],
 )
 def test_malformed_page_is_a_platform_error(body):
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -4,13 +4,14 @@
 them use the same ports.
 """
 
-from json import dumps
+from json import dumps, loads
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGTERM
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
 from sys import executable
+from time import time
 
 import anyio
 import pytest
@@ -22,6 +23,7 @@
 from tests.platform.fake_store import FakeStore
 
 ROOT = Path(__file__).parents[2]
+STOPPED = "INSTANCE_STOPPED"
 WAIT_TIMEOUT_S = 20.0
 ROUTE = ("198.18.0.1", 443)
 SYN, ACK, RST = 16, 2, 4
@@ -190,6 +192,35 @@
     run_steering_scenario(tmp_path, act)
 
 
+def test_planned_stop_forwards_all_new_flows_that_reach_it_before_its_end(tmp_path):
+    # Guards against SYNs that were received in the last second of a process and are
+    # lost with it, while the routers still send.
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        await wait_metrics(site)
+        process.send_signal(SIGTERM)
+        sent = []
+        while process.returncode is None:
+            port = 5001 + len(sent)
+            sent.append((time(), port))
+            site.send("127.0.0.2", packet(port, SYN))
+            await anyio.sleep(0.005)
+        log = b"".join([data async for data in process.stdout])
+        lines = [loads(line) for line in log.splitlines()]
+        [stopped_at] = [line["t"] for line in lines if line["event"] == STOPPED]
+        forwarded = set()
+        with anyio.move_on_after(0.3):
+            while True:
+                data = await receive(site.server)
+                forwarded.add(int.from_bytes(data[8:10], "big"))
+        due = {port for at, port in sent if at < stopped_at}
+        assert len(due) > 50
+        assert due <= forwarded
+
+    run_steering_scenario(tmp_path, act)
+
+
 def test_stop_during_the_start_is_graceful(tmp_path):
     # Guards against a signal that is lost because the event loop is not running yet:
     # an instance answers readiness polls before that.
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -66,3 +66,16 @@
             datagrams + [SYN[:20] + data + SYN[20:] for data in datagrams]
         )
     assert "drop_error" not in each.counters
+
+
+def test_pending_datagrams_are_handled_before_the_socket_is_closed():
+    # Guards against SYNs that arrive while the event loop ends, and are lost with it.
+    with Socket(AF_INET, SOCK_DGRAM) as sock, Socket(AF_INET, SOCK_DGRAM) as caller:
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        each = forwarder(sock)
+        for number in range(200):
+            data = SYN[:1] + bytes([number]) + SYN[2:]
+            caller.sendto(data, sock.getsockname())
+        each.handle_pending()
+    assert each.counters["forwarded"] == 200
