Explain new flows by the limit of cold servers, and remove unused code

Cause: the explanation of a flow ignored the stated rate of cold servers and could name a server while the SYN is dropped. Change: the preview uses the choice of the packet path itself. Removed, as nothing used them: BaseWindow.oldest_version, Handover.backlog, Service.server, SliceMap.members, READ_LIMIT_PER_S, sample.LENGTH_S, SimInstance.ended. Result: tests/runtime/test_status_builder.py with a cold server over its limit.

--- a/src/magnoliaslip/lab/platform_store.py
+++ b/src/magnoliaslip/lab/platform_store.py
@@ -11,8 +11,6 @@
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.recorder import NullRecorder, Recorder
 
-READ_LIMIT_PER_S = 2000  # of the platform, for all readers; not enforced here
-
 
 class PlatformMode(StrEnum):
     """How the platform answers a group of readers.
--- a/src/magnoliaslip/placement/base_window.py
+++ b/src/magnoliaslip/placement/base_window.py
@@ -58,11 +58,6 @@
                 version = min(version, following - 1)
         return version
 
-    @property
-    def oldest_version(self) -> int:
-        """Oldest version that this instance has."""
-        return self._versions[0][0] if self._versions else 0
-
     def record_version(self, version: int, since: float) -> None:
         """Record a version that came into force."""
         self._versions.append((version, since))
--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -76,11 +76,6 @@
         self._next_leaving_row = ROWS
         self.last_packet_at = 0.0
 
-    @property
-    def backlog(self) -> int:
-        """Number of buckets whose exceptions are still to be sent."""
-        return len(self._resend_queue)
-
     def is_in_handover(self, code: int) -> bool:
         """Check whether a bucket has a new owner that may lack its exceptions."""
         return code in self._former_owners or code in self._resend_queue
--- a/src/magnoliaslip/placement/service.py
+++ b/src/magnoliaslip/placement/service.py
@@ -3,7 +3,7 @@
 from collections.abc import Collection, Sequence
 from random import Random
 
-from magnoliaslip.config.snapshot import BackendServer, Pool
+from magnoliaslip.config.snapshot import Pool
 from magnoliaslip.core.group import Member
 from magnoliaslip.placement.bucket_table import BUCKET_MASK
 from magnoliaslip.placement.epochs import EpochHistory
@@ -134,10 +134,6 @@
         """Return the code of a bucket, which is unique among all services."""
         return self.index << BUCKET_CODE_SHIFT | bucket
 
-    def server(self, number: int) -> BackendServer:
-        """Return a server by number."""
-        return self.servers[number]
-
     def _numbers_not_out(self) -> set[int]:
         """Return the servers whose zone is not out, draining ones included."""
         if self.pool is None:
--- a/src/magnoliaslip/placement/slices.py
+++ b/src/magnoliaslip/placement/slices.py
@@ -144,15 +144,6 @@
         """Numbers of the slices that this instance owns."""
         return self._owned_since
 
-    def members(self) -> set[str]:
-        """Return every member that is an owner or replica of a slice."""
-        member_ids: set[str] = set()
-        for slice_holders in self._holders:
-            if slice_holders:
-                member_ids.add(slice_holders.owner)
-                member_ids.update(slice_holders.replicas)
-        return member_ids
-
     def has_settled(self, bucket: int, now: float) -> bool:
         """Check whether this instance has owned the slice longer than `SETTLE_S`."""
         since = self._owned_since.get(bucket % self.count)
--- a/src/magnoliaslip/proof/sample.py
+++ b/src/magnoliaslip/proof/sample.py
@@ -17,7 +17,6 @@
 INSTANCES = tuple(f"i{number}" for number in range(1, 8))
 ZONES = ("a", "b", "c")
 SLOTS = 4
-LENGTH_S = 40.0
 ZONE_OUT_AT_S = 10.0
 ZONE_IN_AT_S = 20.0
 DRAIN_AT_S = 24.0
--- a/src/magnoliaslip/proof/sim_hosts.py
+++ b/src/magnoliaslip/proof/sim_hosts.py
@@ -94,8 +94,6 @@
 
     Attributes:
         sent: Number of packets sent, by kind; see `SimPacketLink`.
-        ended: Whether the task of the node has ended. After a kill, the process is
-            marked as ended earlier.
     """
 
     def __init__(
@@ -118,7 +116,6 @@
         self.sent: Counter[str] = Counter()
         self.metrics = Metrics()
         self.recorder = recorder
-        self.ended = False
         self._scope: CancelScope | None = None
         self.platform_client = SimPlatformClient(cfg.id, network, platform)
         self._packets = SimPacketLink(cfg.id, network, receivers, self.sent)
@@ -188,7 +185,6 @@
         with CancelScope() as self._scope:
             if not self.process.ended:
                 await self.node.run()
-        self.ended = True
         if not self.process.ended:
             self.process.ended = True
             on_stopped(self)
--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -80,7 +80,8 @@
             steps=[],
         )
         self._explain_flow_entry(explanation, flow)
-        route = table.routes.get(_route_key(endpoint)) if table else None
+        route_key = _route_key(endpoint)
+        route = table.routes.get(route_key) if table else None
         if route is None:
             reason = (
                 "there is no route table: a SYN is dropped"
@@ -99,7 +100,7 @@
                 explanation.steps.append(
                     f"{status.id} gets no new flow: {_exclusion_reason(status)}"
                 )
-        chosen = self._router.preview(explanation.service, flow, self._now)
+        chosen = self._router.preview(route_key, explanation.service, flow, self._now)
         if chosen is None:
             explanation.steps.append("no server is eligible: a SYN is dropped")
         else:
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -7,7 +7,7 @@
 from xxhash import xxh32_intdigest
 
 from magnoliaslip.registry.directory import Directory
-from magnoliaslip.registry.model import ServiceRoute
+from magnoliaslip.registry.model import Endpoint, ServiceRoute
 from magnoliaslip.steering.bounded_load_selector import BoundedLoadSelector
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
@@ -132,18 +132,14 @@
         else:
             self._handle_syn(packet, route, now)
 
-    def preview(self, service: str, flow: bytes, now: float) -> TrackedServer | None:
+    def preview(
+        self, endpoint: Endpoint, service: str, flow: bytes, now: float
+    ) -> TrackedServer | None:
         """Return the server for the SYN of a new flow, without placing the flow.
 
-        Other unanswered SYNs of the caller and the rate limit of cold servers are
-        ignored.
+        Other unanswered SYNs of the caller are ignored.
         """
-        return self._selector.choose(
-            self.servers.candidates(service),
-            flow,
-            now,
-            instance_count=self.instance_count,
-        )
+        return self._choose(endpoint, service, flow, (), now)
 
     def on_receive_queue_empty(self, now: float) -> None:
         """Record SYNs that were not answered in time as evidence against servers.
@@ -202,7 +198,7 @@
             entry.tried += (entry.server,)
         service = self.service_of(route, packet.flow)
         tried = entry.tried + self._pending_syns.tried(packet.caller)
-        tracked = self._choose(packet, service, tried, now)
+        tracked = self._choose(packet.endpoint, service, packet.flow, tried, now)
         entry.retransmission = packet.retransmission
         entry.last_seen_at = now
         entry.server = tracked
@@ -230,8 +226,9 @@
 
     def _choose(
         self,
-        packet: TaggedPacket,
+        endpoint: Endpoint,
         service: str,
+        flow: bytes,
         tried: Collection[TrackedServer],
         now: float,
     ) -> TrackedServer | None:
@@ -241,13 +238,13 @@
         while True:
             tracked = self._selector.choose(
                 candidates,
-                packet.flow,
+                flow,
                 now,
                 tried=tried,
                 cold_opens_per_s=cold_opens_per_s,
                 instance_count=self.instance_count,
             )
-            if tracked is None or self._flow_tags.identifies(packet.endpoint, tracked):
+            if tracked is None or self._flow_tags.identifies(endpoint, tracked):
                 return tracked
             candidates = [other for other in candidates if other is not tracked]
 
--- a/tests/runtime/test_status_builder.py
+++ b/tests/runtime/test_status_builder.py
@@ -7,10 +7,17 @@
 from magnoliaslip.gossip.digest import DIGEST_FORMAT, Digest, ZoneReport
 from magnoliaslip.gossip.hosts import pack_host
 from magnoliaslip.gossip.membership import Membership
+from magnoliaslip.registry.model import ServiceLimits
 from magnoliaslip.registry.store_client import ServerChange, ZoneChange
 from magnoliaslip.runtime.status_builder import StatusBuilder
 from magnoliaslip.steering.reachability import SYN_ANSWER_TIMEOUT_S
-from tests.steering.harness import DESK_ENDPOINT, START_TIME_S, Harness, server
+from tests.steering.harness import (
+    DESK_ENDPOINT,
+    START_TIME_S,
+    Harness,
+    routes,
+    server,
+)
 
 ENDPOINT = Address("198.18.0.1", 443)
 WALL_OFFSET_S = 1.7e9
@@ -118,3 +125,16 @@
     harness = Harness(server("i-1"))
     assert DESK_ENDPOINT in harness.directory.table.routes
     assert status_builder(harness).explain("i1", b"flow", ENDPOINT).service == "desk"
+
+
+def test_server_over_its_warm_up_limit_is_not_named():
+    # Guards against an explanation that names a server while SYNs are dropped.
+    table = routes()
+    table.services["desk"] = ServiceLimits("desk", cold_opens_per_s=1.0)
+    harness = Harness(server("i-1", cold_ms=60_000), table=table)
+    harness.now += 1.0
+    assert harness.open() == "i-1"
+    assert harness.open(flow=b"second") is None
+    explanation = status_builder(harness).explain("i1", b"second", ENDPOINT)
+    assert explanation.server == ""
+    assert explanation.steps[-1] == "no server is eligible: a SYN is dropped"
