--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -26,7 +26,7 @@
 # time within which a change must be in force (platform: 3 s).
 CHANGE_BATCH_DELAY_S = 0.3
 # An instance that does not watch the store queries it at this interval in seconds.
-POLL_INTERVAL_S = 30.0
+POLL_INTERVAL_S = 60.0
 # An instance whose reads fail for this time in seconds leaves the watching to others.
 STORE_FAILURE_TOLERANCE_S = 1.5
 # Interval in seconds at which it checks whether it has to watch again.
