Wait longer for the heartbeats of a large zone

Cause: with 50 members in a zone, some heartbeat often took longer than six mean intervals between arrivals to reach some member: 0.85 of 100 instances missed a running member at any time (simulated), lost it and found it again, with changes of watchers. Change: 16 intervals, 6.1 s at 50 members; zones of up to 32 keep 4 s. Result: none of 100 in tests/gossip/test_fleet.py, which fails with six. At 387 members the time-out is 48 s, and a new member is known to all only after more than 15 s.

--- a/src/magnoliaslip/gossip/membership.py
+++ b/src/magnoliaslip/gossip/membership.py
@@ -32,7 +32,7 @@
 # In a larger fleet, heartbeats arrive by way of other members.
 MIN_TIMEOUT_S = 4.0
 # Mean times between two arrivals of a member's heartbeat after which it is not live.
-MISSED_REFRESHES = 6
+MISSED_REFRESHES = 16
 # An instance that is silent for this time in seconds is removed, if others are not.
 # Until then it may still run on the other side of a partition.
 MEMBER_EXPIRY_S = 60.0
--- a/tests/gossip/test_fleet.py
+++ b/tests/gossip/test_fleet.py
@@ -184,6 +184,15 @@
     assert fleet.run(4.0, until=lambda: all_know_their_zones(fleet)) is not None
 
 
+def test_running_members_of_a_large_zone_are_not_lost():
+    # Guards against members that become live and lost by turns, each time as watchers.
+    fleet = LargeFleet(50, 50, loss=0.01)
+    fleet.run(8.0)
+    for _ in range(100):
+        fleet.step()
+        assert all_know_their_zones(fleet)
+
+
 def suspect(node, name, flows, now):
     for flow in flows:
         node.tracked(name).reachability.record_retransmission(flow, now)
