Keep health addresses when rendering, and log an invalid index

Causes: ops render left out the health address of a server, so publishing ended its health checks; an index that can't be parsed was retried and never logged; the read limit before the first instance list assumed a fleet of one, as nothing passed the expected size. Change: the address is rendered; an invalid index is logged as CONFIG_REJECTED and not retried; the instances of the settings count until the first list. Result: tests/ops/test_rendering.py and tests/peering/test_dissemination.py, both failing before.

--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -130,6 +130,8 @@
             rng=rng or Random(),
             metrics=self.metrics,
             membership=self.membership,
+            # Before the first list, the settings are all that is known of the fleet.
+            fleet_size=1 + len(cfg.peers),
         )
         self._health_monitor = health_source and HealthMonitor(
             self.router.polled_servers,
--- a/src/magnoliaslip/ops/rendering.py
+++ b/src/magnoliaslip/ops/rendering.py
@@ -151,6 +151,7 @@
                 "connections": server.connections,
                 "drain": server.drain,
             }
+            | ({} if server.health is None else {"health": str(server.health)})
             for server in pool.servers
         ],
     }
--- a/src/magnoliaslip/peering/platform_feed.py
+++ b/src/magnoliaslip/peering/platform_feed.py
@@ -196,11 +196,16 @@
         Raises:
             PlatformError: A read failed or was not answered.
         """
+        try:
+            version = parse_index(index).version
+        except ConfigError as exc:
+            log_event(logger, Event.CONFIG_REJECTED, error=repr(str(exc)))
+            return
         for attempt in range(INDEX_ATTEMPTS):
             if attempt:
                 await anyio.sleep(INDEX_RETRY_DELAY_S)
             try:
-                if parse_index(index).version <= self._config_version:
+                if version <= self._config_version:
                     self._store.offer({INDEX_KEY: index})  # reports a conflict
                     return
                 values = {INDEX_KEY: index}
@@ -211,7 +216,7 @@
                 self._store.offer(values)
                 return
             except ConfigError:
-                continue  # logged by the store, unless the index itself is invalid
+                continue  # logged by the store
 
     @property
     def _config_version(self) -> int:
--- a/tests/ops/test_rendering.py
+++ b/tests/ops/test_rendering.py
@@ -92,3 +92,17 @@
     assert (code, "warning" in output) == (0, False)
     assert ops("render", example / "tables", "--to", tmp_path, "--first")[0] == 0
     assert decode((tmp_path / "index.json").read_bytes())["version"] == 1
+
+
+def test_rendered_pool_keeps_the_health_addresses():
+    # Guards against health checks that end with the next publication.
+    health = Address("10.0.0.1", 9000)
+    server = BackendServer("server-0", Address("10.0.0.1", 1), "a", health=health)
+    tables = SourceTables(
+        (Route(Address("198.51.100.1", 1), "service-0"),),
+        (Pool("service-0", 1, (server,)),),
+        (("a", True),),
+        Snapshot(1),
+    )
+    snapshot = render_tables(tables, None).tables.build_snapshot()
+    assert snapshot.pools["service-0"].servers[0].health == health
--- a/tests/peering/test_dissemination.py
+++ b/tests/peering/test_dissemination.py
@@ -4,6 +4,7 @@
 import pytest
 from msgspec.json import encode
 
+from magnoliaslip.core.events import Event
 from magnoliaslip.peering import platform_feed
 from magnoliaslip.peering.instance_list import InstanceList
 from magnoliaslip.peering.platform_feed import watchers
@@ -183,3 +184,16 @@
     router = group["i1"].router
     router.mark_view_suspect()
     await wait_for(lambda: not router.suspect, 0.2)
+
+
+@in_group(count=3)
+async def test_invalid_index_is_logged_and_changes_nothing(group):
+    # Guards against an operator who is not told why a publication has no effect.
+    group.publish_zones(2, a="in", b="out")
+    await wait_for(lambda: group.versions() == {2}, 0.5)
+    with mock.patch.object(platform_feed, "log_event") as log:
+        group.platform.publish({"index": b"{"})
+        await anyio.sleep(3)
+    assert group.versions() == {2}
+    events = [call.args[1] for call in log.call_args_list]
+    assert Event.CONFIG_REJECTED in events
