Record faults of instances by the names that the history checker knows

Cause: an experiment of the lab recorded instance:kill and instance:pause, the checker looks for kill and pause, so it held a killed instance to bounds of running ones. Result: tests/lab/test_experiment.py, failing before for both.

--- a/src/magnoliaslip/lab/experiment.py
+++ b/src/magnoliaslip/lab/experiment.py
@@ -20,7 +20,7 @@
 from magnoliaslip.lab.protocol import RequestKind
 from magnoliaslip.lab.report import SiteReport, collect_report
 from magnoliaslip.lab.site import Site, SiteOptions, open_site
-from magnoliaslip.lab.steps import AnyStep, ExperimentStep
+from magnoliaslip.lab.steps import AnyStep, ExperimentStep, InstanceStep
 from magnoliaslip.lab.workload import WorkloadConfig
 
 FINISH_TIMEOUT_S = 20.0  # for the last answers after the end of the workload
@@ -264,5 +264,8 @@
     target = ",".join(name for _, _, name in step.references())
     kind = type(step).__struct_config__.tag
     detail = fields.get("fault") or fields.get("action") or fields.get("mode") or ""
-    name = f"{kind}:{detail}" if detail else str(kind)
+    if isinstance(step, InstanceStep):
+        name = step.action  # as the history checker expects it
+    else:
+        name = f"{kind}:{detail}" if detail else str(kind)
     recorder.record("fault", fault=name, target=target, phase=phase)
--- a/tests/lab/test_experiment.py
+++ b/tests/lab/test_experiment.py
@@ -4,10 +4,17 @@
 from anyio import fail_after, run
 
 from magnoliaslip.core.errors import SettingsError
-from magnoliaslip.lab.experiment import Experiment, ExperimentFile, load_experiment
+from magnoliaslip.lab.experiment import (
+    Experiment,
+    ExperimentFile,
+    _record_fault,
+    load_experiment,
+)
 from magnoliaslip.lab.site import SiteOptions
 from magnoliaslip.lab.steps import InstanceStep, PathStep
 from magnoliaslip.lab.workload import WorkloadConfig
+from magnoliaslip.proof.facts import Facts
+from magnoliaslip.proof.history import History, HistoryRecorder
 from tests.lab.test_site import TIME_LIMIT_S, forwarder_command
 
 EXAMPLES = Path(__file__).parents[2] / "examples" / "experiments"
@@ -72,3 +79,21 @@
     assert report.timeline[-1]["answered"] == report.site.answered > 0
     # Each of the two steps adds two records, and each record contains the text twice.
     assert (tmp_path / "lab.jsonl").read_text().count('"fault"') == 4 * 2
+
+
+@pytest.mark.parametrize("action", ["kill", "pause"])
+def test_checker_finds_the_faults_of_instances(action):
+    # Guards against a checker that holds a killed instance to bounds that only apply
+    # while it runs.
+    now = [1.0]
+    recorder = HistoryRecorder(lambda: now[0], "lab", records := [])
+    instance = HistoryRecorder(lambda: now[0], "i1", records)
+    instance.record("state", state="joining")
+    now[0] = 5.0
+    step = InstanceStep(at_s=1.0, instance="i1", action=action)
+    _record_fault(recorder, step, "begin")
+    facts = Facts(History(records))
+    if action == "kill":
+        assert [lifetime.end for lifetime in facts.lifetimes] == [5.0]
+    else:
+        assert facts.pauses["i1"][0][0] == 5.0
