--- a/tests/proof/test_checker.py
+++ b/tests/proof/test_checker.py
@@ -120,3 +120,26 @@
 def test_history_round_trips_through_json_lines():
     history = sample_history(3)
     assert History.read(history.lines()).digest() == history.digest()
+
+
+def test_server_that_returned_to_its_pool_may_get_new_flows():
+    # Guards against violations of rule 8 by flows to a server that serves again; one
+    # that was placed while it was leaving still is a violation.
+    def publish(t, version, draining):
+        fields = {"version": version, "values": {}, "zones_out": []}
+        return Record(t, "platform", "publish", {**fields, "draining": draining})
+
+    def syn(t, flow):
+        fields = {"flow": flow, "service": "s", "server": "s-1", "zone": "a"}
+        more = {"config": 1, "segment": "open", "reason": "default"}
+        return Record(t, "i1", "forward", {**fields, **more})
+
+    records = [
+        Record(0.0, "i1", "state", {"state": "joining"}),
+        publish(1.0, 1, ["s-1"]),
+        syn(10.0, "01" * 12),
+        publish(20.0, 2, []),
+        syn(40.0, "02" * 12),
+    ]
+    found = Checker().check(History(records)).violations["R8"]
+    assert [violation.t for violation in found] == [10.0]
