Bound the names and heartbeats that digests may contain

Cause, found when reading the change: a zone name of a thousand characters in a datagram was kept and passed on; a digest that does not fit was reduced in a loop that ends only when one zone report is left, and two were never reduced to one, so the process would stop for good. A forged heartbeat of the own address could not be increased any more. Change: names of more than 100 characters are rejected, the loop reduces to one report, and heartbeats of the own address that are more than a week ahead are ignored. Result: tests/gossip/test_exchange.py (long names; failing before) and test_membership.py.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -9,6 +9,7 @@
 DIGEST_FORMAT = 3
 # Reports of zones are passed on, so their size is checked.
 MAX_REPORT_ITEMS = 16
+MAX_ZONE_NAME = 100  # characters, as in the settings
 MAX_AGE_MS = 60_000  # limit of all ages: the maximum lifetime of a flow
 
 
@@ -147,6 +148,9 @@
             f"digest format {digest.format} is not supported",
             remedy="run the same version on all instances",
         )
+    zones = [digest.zone, *(report.zone for report in digest.zones)]
+    if any(len(zone) > MAX_ZONE_NAME for zone in zones):
+        raise PeerError("the digest contains a zone name that is too long")
     numbers = [digest.heartbeat, digest.revision, digest.changes_after]
     for load in digest.loads:
         numbers += (load.load, load.answer_ms)
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -332,7 +332,7 @@
                 loads=digest.loads[: len(digest.loads) // 2],
                 evidence=digest.evidence[: len(digest.evidence) * 3 // 4],
                 members=digest.members[: len(digest.members) // 2],
-                zones=digest.zones[: 1 + len(digest.zones) // 2],
+                zones=digest.zones[: max(1, len(digest.zones) // 2)],
             )
             data = encode_digest(digest)
         return data
--- a/src/magnoliaslip/gossip/membership.py
+++ b/src/magnoliaslip/gossip/membership.py
@@ -50,6 +50,8 @@
 # More than the periods in a second, so that a restarted process continues above its
 # predecessor.
 _HEARTBEATS_PER_S = 4
+# A higher number than that of a process started a week later is forged.
+MAX_HEARTBEAT_LEAD = 7 * 86_400 * _HEARTBEATS_PER_S
 
 
 def first_heartbeat(started_s: float) -> int:
@@ -377,7 +379,8 @@
         host = unpack_host(entry.host)
         if host == self._host:
             # An earlier process at this address was ahead: the clock was set back.
-            self.heartbeat = max(self.heartbeat, entry.heartbeat)
+            if entry.heartbeat - self.heartbeat <= MAX_HEARTBEAT_LEAD:
+                self.heartbeat = max(self.heartbeat, entry.heartbeat)
             return
         self._add(host, self._zone, now).advance(
             entry.heartbeat, now, leaving=entry.leaving, reads_store=entry.reads_store
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -369,3 +369,35 @@
     deliver(nodes)
     assert behind.directory.revision == 1
     assert set(behind.newer_hosts) == {ahead.host}
+
+
+def test_digest_with_long_names_neither_stops_the_process_nor_is_passed_on():
+    # Guards against a datagram whose content, passed on, does not fit the next digest.
+    _, nodes = fleet("a", "a")
+    node = nodes[0]
+    reports = [
+        ZoneReport(f"{n}" + "z" * 600, 9, 3, 3, (bytes(4),) * 16, ((7, 8),) * 16)
+        for n in range(2)
+    ]
+    for zone in ("a", "z" * 1200):
+        digest = Digest(DIGEST_FORMAT, zone, 9, 1, zones=tuple(reports))
+        node.receive(encode_digest(digest), "10.0.0.9")
+    assert node.exchange.rejected == 2
+    for _ in range(20):
+        node.exchange.send_once()
+
+
+def test_reports_of_the_largest_size_leave_a_digest_that_fits():
+    # The fake socket checks the size of each datagram.
+    _, nodes = fleet("a", "a")
+    node = nodes[0]
+    for n in range(8):
+        name = f"{n}" + "z" * 99
+        report = ZoneReport(
+            name, 2**40, 3, 3, (bytes(16),) * 16, ((2**32 - 1, 2**40),) * 16
+        )
+        digest = Digest(DIGEST_FORMAT, name, 2**40, 1, zones=(report,))
+        node.receive(encode_digest(digest), f"10.0.1.{n}")
+    assert node.exchange.rejected == 0
+    for _ in range(20):
+        node.exchange.send_once()
--- a/tests/gossip/test_membership.py
+++ b/tests/gossip/test_membership.py
@@ -161,3 +161,12 @@
     assert len(watchers(first)) == 2 and not set(watchers(first)) & set(first)
     # While nobody reads it, two keep trying.
     assert watchers(hosts) == first
+
+
+def test_forged_heartbeat_of_the_own_address_is_ignored():
+    # Guards against numbers that can't be increased or encoded any more.
+    members = membership()
+    members.record_digest(
+        "10.0.0.2", digest(members=(entry("10.0.0.1", 2**63),)), 100.0
+    )
+    assert members.heartbeat == 7
