Read the server's socket while the test of the planned stop sends

The server of the test is a socket that was read only after the process had ended. With the default buffer of 212,992 bytes the kernel queues exactly 256 packets of this size (a program that sends 300 to an unread socket reads 256) and drops the rest: 5001 + 256 = 5257. Change: the test reads the socket between two packets that it sends. Check and bound stay.

--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -57,6 +57,15 @@
         return sock.recv(2048)
 
 
+def read_caller_ports(sock):
+    """Return the callers' ports of all packets that wait in a server's socket."""
+    ports = set()
+    with suppress(BlockingIOError):
+        while True:
+            ports.add(int.from_bytes(sock.recv(2048)[8:10], "big"))
+    return ports
+
+
 class SteeringSite:
     """A store, one backend server, one caller, and the instances that a test starts."""
 
@@ -202,20 +211,18 @@
         await wait_metrics(site)
         process.send_signal(SIGTERM)
         sent = []
+        forwarded = set()
         while process.returncode is None:
             port = 5001 + len(sent)
             sent.append((time(), port))
             site.send("127.0.0.2", packet(port, SYN))
             await anyio.sleep(0.005)
+            # An unread socket of the default size drops what follows 256 packets.
+            forwarded |= read_caller_ports(site.server)
+        forwarded |= read_caller_ports(site.server)
         log = b"".join([data async for data in process.stdout])
         lines = [loads(line) for line in log.splitlines()]
         [stopped_at] = [line["t"] for line in lines if line["event"] == STOPPED]
-        forwarded = set()
-        # The process has ended, so all that it forwarded waits in the socket.
-        with suppress(BlockingIOError):
-            while True:
-                data = site.server.recv(2048)
-                forwarded.add(int.from_bytes(data[8:10], "big"))
         due = {port for at, port in sent if at < stopped_at}
         assert len(due) > 50
         assert due <= forwarded
