Reset no flows when the instance itself may be the cause

Two late flows were enough, as the evidence of the server's zone counted as a partition, also within the own zone. Change: a zone's evidence lowers the number of flows only for other zones, and no flow is reset while packets to the own zone and to another one are unanswered; any answer of a zone ends that. Result: two tests of tests/steering/test_reachability.py, both failing before.

--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -155,6 +155,11 @@
             < self._last_evidence_at - RETRANSMISSION_TIMEOUT_S
         )
 
+    def is_unanswered(self, now: float) -> bool:
+        """Check whether there is fresh evidence, and no answer since."""
+        fresh = now - self._last_evidence_at < EVIDENCE_MAX_AGE_S
+        return fresh and bool(self._unresponsive or self._unanswered_syns)
+
     def is_partitioned(self, now: float) -> bool:
         """Check, by a zone's evidence, whether new flows should avoid the whole zone.
 
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -42,7 +42,8 @@
     its tag identifies, see `FlowTags`. It is dropped, not reset, if there is none: a
     server that is missing from this instance's directory may still exist. A packet with
     data is reset if its server is unreachable and its route idempotent, because the
-    caller can then retry the request on a new flow.
+    caller can then retry the request on a new flow, unless the cause may be this
+    instance itself.
 
     Args:
         zone: Availability zone of this instance.
@@ -272,7 +273,10 @@
         if (
             packet.data_bytes
             and idempotent
-            and tracked.is_unreachable(now, correction_time_s=self.correction_time_s)
+            and tracked.is_unreachable(
+                now, from_zone=self.zone, correction_time_s=self.correction_time_s
+            )
+            and not self.servers.is_own_path_suspect(self.zone, now)
         ):
             # The caller retries the request on a new flow at once.
             self._reset(
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -172,14 +172,22 @@
         self.zone_reachability.record_unanswered_syn(flow, sent_at, now)
         return self.reachability.record_unanswered_syn(flow, sent_at, now)
 
-    def is_unreachable(self, now: float, *, correction_time_s: float = 0.0) -> bool:
+    def is_unreachable(
+        self, now: float, *, from_zone: str, correction_time_s: float = 0.0
+    ) -> bool:
         """Check whether recent evidence of several flows shows it to be unreachable.
 
+        Fewer flows are enough if its zone seems to be partitioned from this instance,
+        which is only possible for another zone.
+
         Args:
             now: Monotonic time in seconds.
+            from_zone: Availability zone of this instance.
             correction_time_s: See `Reachability.is_unreachable`.
         """
-        partitioned = self.zone_reachability.is_partitioned(now)
+        partitioned = (
+            self.server.zone != from_zone and self.zone_reachability.is_partitioned(now)
+        )
         return self.reachability.is_unreachable(
             now,
             flows=UNREACHABLE_FLOWS_IN_PARTITION if partitioned else UNREACHABLE_FLOWS,
@@ -288,6 +296,28 @@
         self._active -= {each for each in self._active if not each.is_active(now)}
         return list(self._active)
 
+    def is_own_path_suspect(self, zone: str, now: float) -> bool:
+        """Check whether this instance rather than the servers may be the cause.
+
+        An instance that is overloaded, or whose link is, gets late answers from all
+        servers: from those of its own zone, which no partition separates from it, and
+        from those of other zones.
+
+        Args:
+            zone: Availability zone of this instance.
+            now: Monotonic time in seconds.
+        """
+        own_zone = self._zone_reachability.get(zone)
+        return (
+            own_zone is not None
+            and own_zone.is_unanswered(now)
+            and any(
+                other.is_unanswered(now)
+                for other in self._zone_reachability.values()
+                if other is not own_zone
+            )
+        )
+
     @property
     def groups(self) -> Collection[ServerGroup]:
         """The servers of each service in each zone."""
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -244,14 +244,14 @@
     first.exchange.announce()
     second.exchange.announce()
     deliver(nodes)
-    assert not first.tracked("i-1").is_unreachable(now)
+    assert not first.tracked("i-1").is_unreachable(now, from_zone=first.zone)
     # No instance has received an answer since: the server is unreachable.
     clock.advance(0.4)
     add_three_unresponsive_flows("i-1", first, second, clock.monotonic())
     first.exchange.announce()
     second.exchange.announce()
     deliver(nodes)
-    assert first.tracked("i-1").is_unreachable(clock.monotonic())
+    assert first.tracked("i-1").is_unreachable(clock.monotonic(), from_zone=first.zone)
 
 
 def test_answers_to_an_instance_of_another_zone_do_not_count():
@@ -264,7 +264,7 @@
     for node in nodes:
         node.exchange.announce()
     deliver(nodes)
-    assert first.tracked("i-2").is_unreachable(clock.monotonic())
+    assert first.tracked("i-2").is_unreachable(clock.monotonic(), from_zone=first.zone)
 
 
 def test_corrections_between_two_instances_are_rate_limited():
--- a/tests/gossip/test_fleet.py
+++ b/tests/gossip/test_fleet.py
@@ -202,7 +202,9 @@
 def is_unreachable(fleet, node):
     now = fleet.clock.monotonic()
     tracked = node.tracked("i-1")
-    return tracked.is_unreachable(now, correction_time_s=CORRECTION_TIME_S)
+    return tracked.is_unreachable(
+        now, from_zone=node.zone, correction_time_s=CORRECTION_TIME_S
+    )
 
 
 @pytest.mark.parametrize("server_zone", ["zone-0", "zone-3"])
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -90,6 +90,32 @@
     establish(harness, b"idle", "i-1")
 
 
+def test_overloaded_instance_resets_no_flows():
+    # An instance that sends late has unanswered packets at servers of every zone.
+    harness = Harness(server("i-1"), server("i-2", zone="b"))
+    establish(harness, b"far", "i-2")
+    request(harness, b"far", "i-2")
+    harness.now += 0.2
+    request(harness, b"far", "i-2")
+    leave_unanswered(harness, "i-1", 5)
+    assert not harness.link.resets
+    # An answer from the other zone shows that the path is fine.
+    harness.handle(flow=b"far", tag=harness.tag("i-2"), seq=190, ack=50)
+    request(harness, b"\0", "i-1")
+    assert len(harness.link.resets) == 1
+
+
+def test_two_flows_of_a_server_in_the_own_zone_are_not_reset():
+    # Guards against resets by a zone's evidence within that zone, as under a burst.
+    harness = Harness(*(server(f"i-{n}") for n in range(1, 4)))
+    establish(harness, b"other", "i-2")
+    request(harness, b"other", "i-2")
+    harness.now += 0.2
+    request(harness, b"other", "i-2")
+    leave_unanswered(harness, "i-1", 2)
+    assert not harness.link.resets
+
+
 def test_zone_partition_is_detected_from_flows_of_several_servers():
     harness = Harness(*(server(f"i-{n}", zone="b") for n in range(1, 4)), server("i-9"))
     for n in range(1, 4):
