Ignore retransmissions that waited in the receive queue as evidence

Change: while full batches follow each other, a copy of a packet that was sent since then is no evidence. Result: test_retransmissions_that_waited_in_the_receive_queue_are_no_evidence.

--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -83,6 +83,8 @@
                 )
         if len(datagrams) < BATCH_DATAGRAMS:
             self.router.on_receive_queue_empty(now)
+        else:
+            self.router.on_backlog(now)
 
     def handle_pending(self) -> None:
         """Handle all datagrams that have arrived."""
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -2,6 +2,7 @@
 
 from collections import Counter
 from collections.abc import Callable, Collection
+from math import inf
 from typing import Any
 
 from xxhash import xxh32_intdigest
@@ -65,6 +66,7 @@
     """
 
     __slots__ = (
+        "_backlog_since",
         "_directory",
         "_flow_tags",
         "_link",
@@ -102,6 +104,8 @@
         self.correction_time_s = 0.0
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
+        # Time since which received packets have been waiting, else infinity.
+        self._backlog_since = inf
         self._flow_tags = FlowTags()
         self._pending_syns = PendingSyns(self.flows)
 
@@ -142,6 +146,17 @@
         """
         return self._choose(endpoint, service, flow, (), now)
 
+    def on_backlog(self, now: float) -> None:
+        """Record that more packets are waiting than are handled at a time.
+
+        Retransmissions that wait behind the packets that they repeat are no evidence
+        against servers.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._backlog_since = min(self._backlog_since, now)
+
     def on_receive_queue_empty(self, now: float) -> None:
         """Record SYNs that were not answered in time as evidence against servers.
 
@@ -151,6 +166,7 @@
         Args:
             now: Monotonic time in seconds.
         """
+        self._backlog_since = inf
         for pending in self._pending_syns.pop_unanswered(
             before=now - SYN_ANSWER_TIMEOUT_S
         ):
@@ -325,6 +341,7 @@
         elif (
             packet.seq == entry.seq
             and now - entry.sent_at >= MIN_RETRANSMISSION_DELAY_S
+            and entry.sent_at < self._backlog_since
         ):
             self.counters["repeated"] += 1
             if tracked.record_retransmission(packet.flow, now):
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -105,6 +105,19 @@
     assert len(harness.link.resets) == 1
 
 
+def test_retransmissions_that_waited_in_the_receive_queue_are_no_evidence():
+    # An instance that is too slow handles a packet and its copy long after they came.
+    harness = Harness(server("i-1"), server("i-2"))
+    harness.router.on_backlog(harness.now)
+    leave_unanswered(harness, "i-1", 4)
+    assert not harness.link.resets
+    harness.router.on_receive_queue_empty(harness.now)
+    harness.now += 0.4
+    for n in range(4):
+        request(harness, bytes([n]), "i-1")
+    assert harness.link.resets
+
+
 def test_two_flows_of_a_server_in_the_own_zone_are_not_reset():
     # Guards against resets by a zone's evidence within that zone, as under a burst.
     harness = Harness(*(server(f"i-{n}") for n in range(1, 4)))
