Reject streams that do not name their sender

Cause: with allowed_networks set, a stream with missing or invalid headers was accepted as one of an instance named "". Change: such a stream ends with INVALID_ARGUMENT and is counted; a message without a sender is not accepted in any case. Result: tests/peering/test_grpc_link.py, the new test failing before.

--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -299,7 +299,8 @@
         """Handle the messages of one stream until it ends.
 
         Raises:
-            GRPCError: The source address is not accepted.
+            GRPCError: The source address is not accepted, or the headers don't name
+                the sender.
         """
         address = stream.peer.addr()
         if address is None or not self._membership.accepts_address(address[0]):
@@ -309,6 +310,13 @@
                 Status.PERMISSION_DENIED, "the source address is not that of a member"
             )
         sender, incarnation = _sender_from_headers(stream)
+        if not sender:
+            self._metrics.counters["peer_streams_rejected"] += 1
+            log_event(logger, Event.PEER_REJECTED, address=address)
+            raise GRPCError(
+                Status.INVALID_ARGUMENT,
+                f"the headers {SENDER_HEADER} and {INCARNATION_HEADER} are required",
+            )
         next_answer_at = float("-inf")
         while True:
             try:
--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -358,8 +358,10 @@
 
         Besides listed instances, seeds and recently delisted instances, others are
         accepted only when the settings allow at least one network: a new instance
-        sends messages before the list names it.
+        sends messages before the list names it. A message without a sender never is.
         """
+        if not peer:
+            return False
         if peer in self._listed or peer in self._seeds or self._allowed_networks:
             return peer != self.instance_id
         now = self._clock.monotonic()
--- a/tests/peering/test_grpc_link.py
+++ b/tests/peering/test_grpc_link.py
@@ -144,6 +144,21 @@
     anyio.run(main)
 
 
+def test_stream_with_invalid_headers_is_rejected():
+    # Guards against messages that are taken for those of an instance named "".
+    async def main():
+        async with two_endpoints() as (first, second):
+            first.membership.incarnation = "none"
+            rejected = second.metrics.counters
+            msg = PeerMessage(sender="i1")
+            await send_until(
+                first.link, "i2", msg, lambda: rejected["peer_streams_rejected"]
+            )
+            assert not second.received
+
+    anyio.run(main)
+
+
 def test_malformed_messages_are_counted_and_dropped(monkeypatch):
     # Guards against invalid bytes from a peer that end the stream.
     async def main():
