Record four cells in which a late revocation loses a flow

Tried and reverted: every holder passes a revocation on, before the removal to the replicas, and resets within 0.5 s of a placement are ignored.

--- a/tests/proof/test_matrix.py
+++ b/tests/proof/test_matrix.py
@@ -49,6 +49,10 @@
     ("sicily/zone-back/cut-zone", 4),
     ("karaganda/zone-out/cut-peers+cut-zone", 2),
     ("karaganda/server-drain/cut-zone+silent-link", 2),
+    ("sicily/steady/cut-zone", 4),
+    ("karaganda/zone-back/cut-zone", 5),
+    ("karaganda/server-start/cut-zone", 6),
+    ("sicily/zone-back/cut-zone", 6),
     ("sicily/zone-out/cold-start", 1),
 )
 
