Log whether an instance was late when it held a server to be unreachable

Cause: the lines of a reset told how many flows were unanswered, but not whether their answers waited in the receive queue of the instance itself. Change: SERVER_SUSPECT and FLOW_RESET (unreachable) have the number of packets that were read at once, and the seconds since the last answer of the server and of any server. Result: test_reset_is_logged_with_what_tells_a_late_instance_from_a_silent_server and test_router_knows_how_many_packets_waited_together; tests of steering, runtime and docs pass.

--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -70,6 +70,7 @@
         A batch that is not full shows that the receive queue is empty.
         """
         now = self._clock.monotonic()
+        self.router.queued_packets = len(datagrams)
         for datagram in datagrams:
             try:
                 self.router.handle(self._decode(datagram), now)
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -61,6 +61,8 @@
             this one.
         observe: Called with the name of a histogram and a duration in seconds.
         on_evidence: Called when a packet was not answered in time.
+        queued_packets: Packets that were in the receive queue at once, when the one
+            that is handled now was read.
         flows: Entries of the flows that this instance forwards.
         servers: Servers that packets may be sent to.
     """
@@ -79,6 +81,7 @@
         "log",
         "observe",
         "on_evidence",
+        "queued_packets",
         "servers",
         "zone",
     )
@@ -102,6 +105,7 @@
         self.on_evidence: Callable[[], None] | None = None
         self.instance_count = 1
         self.correction_time_s = 0.0
+        self.queued_packets = 1
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         # Time since which received packets have been waiting, else infinity.
@@ -173,7 +177,7 @@
             self.counters["unanswered_opens"] += 1
             tracked, flow = pending.server, pending.flow
             if tracked.record_unanswered_syn(flow, pending.sent_at, now):
-                self._log_suspect(tracked, flow, "unanswered open")
+                self._log_suspect(tracked, flow, "unanswered open", now)
             self._notify_evidence()
 
     @staticmethod
@@ -301,6 +305,7 @@
                 server=tracked.server.id,
                 silent_flows=tracked.reachability.unresponsive_flows(now),
                 silent_elsewhere=tracked.reachability.peer_unresponsive_flows,
+                **self._evidence_fields(tracked, now),
             )
             self.flows.remove(packet.flow)
             return
@@ -345,7 +350,7 @@
         ):
             self.counters["repeated"] += 1
             if tracked.record_retransmission(packet.flow, now):
-                self._log_suspect(tracked, packet.flow, "unanswered data")
+                self._log_suspect(tracked, packet.flow, "unanswered data", now)
             self._notify_evidence()
 
     def _cold_opens_share_per_s(self, service: str) -> float:
@@ -358,7 +363,9 @@
         if tracked.record_answer(now):
             self.log.record("SERVER_HEARD", flow, server=tracked.server.id)
 
-    def _log_suspect(self, tracked: TrackedServer, flow: bytes, reason: str) -> None:
+    def _log_suspect(
+        self, tracked: TrackedServer, flow: bytes, reason: str, now: float
+    ) -> None:
         self.log.record(
             "SERVER_SUSPECT",
             flow,
@@ -366,8 +373,23 @@
             server_zone=tracked.server.zone,
             reason=reason,
             registered=tracked.registered,
+            **self._evidence_fields(tracked, now),
         )
 
+    def _evidence_fields(self, tracked: TrackedServer, now: float) -> dict[str, Any]:
+        """Return log fields that show whether the server or this instance is late.
+
+        The number of packets that waited together, and the seconds since the server,
+        and any server, last answered; None for never.
+        """
+        ages = {
+            "answer_s": now - tracked.reachability.last_answer_at,
+            "any_answer_s": now - self.servers.last_answer_at,
+        }
+        return {"queued": self.queued_packets} | {
+            name: None if age == inf else round(age, 3) for name, age in ages.items()
+        }
+
     def _observe_duration(self, name: str, seconds: float) -> None:
         if self.observe is not None:
             self.observe(name, seconds)
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -318,6 +318,14 @@
             )
         )
 
+    @property
+    def last_answer_at(self) -> float:
+        """Monotonic time in seconds of the last answer of any server; -inf for none."""
+        return max(
+            (zone.last_answer_at for zone in self._zone_reachability.values()),
+            default=float("-inf"),
+        )
+
     @property
     def groups(self) -> Collection[ServerGroup]:
         """The servers of each service in each zone."""
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -57,6 +57,14 @@
     assert "int too big" in errors[0]["error"]
 
 
+def test_router_knows_how_many_packets_waited_together():
+    with Socket(AF_INET, SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        each = forwarder(sock)
+        each.handle_batch([SYN] * 5)
+        assert each.router.queued_packets == 5
+
+
 @given(st.lists(st.binary(max_size=80), max_size=5))
 def test_any_datagrams_are_forwarded_dropped_or_reset(datagrams):
     with Socket(AF_INET, SOCK_DGRAM) as sock:
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -90,6 +90,24 @@
     establish(harness, b"idle", "i-1")
 
 
+def test_reset_is_logged_with_what_tells_a_late_instance_from_a_silent_server():
+    harness = Harness(server("i-1"), server("i-2"))
+    establish(harness, b"old", "i-1")
+    request(harness, b"old", "i-1")
+    harness.handle(flow=b"old", tag=harness.tag("i-1"), seq=190, ack=900)
+    harness.now += 0.5
+    harness.router.queued_packets = 7
+    leave_unanswered(harness, "i-1", 3)
+    events = {event: fields for event, _, fields in harness.log.decisions}
+    for event in ("SERVER_SUSPECT", "FLOW_RESET"):
+        fields = events[event]
+        assert (fields["queued"], fields["answer_s"], fields["any_answer_s"]) == (
+            7,
+            0.7,
+            0.7,
+        )
+
+
 def test_overloaded_instance_resets_no_flows():
     # An instance that sends late has unanswered packets at servers of every zone.
     harness = Harness(server("i-1"), server("i-2", zone="b"))
