Judge whether a server answers only when the receive queue is empty

Each copy counted as evidence against the server at once, and the packet was reset in the middle of the queue. All instances of a zone are busy with the same news at the same moment, so the evidence of three of them added up. Change: repeated data, and data for a server that seems unreachable, are deferred until all received packets have been handled, as SYNs were already; then they are evidence, sent or reset. While full batches follow each other they are sent on. An unexpected error in this step is logged and counted like one of a single packet. In the harness each packet now arrives alone unless the test says that several waited together.

--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -77,15 +77,19 @@
             except PacketError:
                 self.counters["drop_malformed"] += 1
             except Exception:
-                # A fault that one packet triggers must not stop all others.
-                self.counters["drop_error"] += 1
-                self.router.log.record(
-                    "UNEXPECTED_ERROR", datagram=datagram[:64].hex(), error=error_text()
-                )
-        if len(datagrams) < BATCH_DATAGRAMS:
-            self.router.on_receive_queue_empty(now)
-        else:
-            self.router.on_backlog(now)
+                self._record_error(datagram=datagram[:64].hex())
+        try:
+            if len(datagrams) < BATCH_DATAGRAMS:
+                self.router.on_receive_queue_empty(now)
+            else:
+                self.router.on_backlog(now)
+        except Exception:
+            self._record_error()
+
+    def _record_error(self, **fields: str) -> None:
+        """Record the current exception: one packet's fault must not stop all others."""
+        self.counters["drop_error"] += 1
+        self.router.log.record("UNEXPECTED_ERROR", **fields, error=error_text())
 
     def handle_pending(self) -> None:
         """Handle all datagrams that have arrived."""
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -11,6 +11,7 @@
 from magnoliaslip.registry.model import Endpoint, ServiceRoute
 from magnoliaslip.steering.bounded_load_selector import BoundedLoadSelector
 from magnoliaslip.steering.decisions import DecisionLog
+from magnoliaslip.steering.deferred_packet import DeferredPacket
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
 from magnoliaslip.steering.flow_tags import FlowTags
 from magnoliaslip.steering.link import TaggedLink
@@ -46,6 +47,10 @@
     caller can then retry the request on a new flow, unless the cause may be this
     instance itself.
 
+    Whether a server answers is judged only when all received packets have been handled:
+    after a pause of this instance, answers are in the receive queue behind the packets
+    that seem unanswered. Packets that depend on it are deferred until then.
+
     Args:
         zone: Availability zone of this instance.
         directory: Routes, servers and zones as published.
@@ -69,6 +74,7 @@
 
     __slots__ = (
         "_backlog_since",
+        "_deferred",
         "_directory",
         "_flow_tags",
         "_link",
@@ -110,6 +116,7 @@
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         # Time since which received packets have been waiting, else infinity.
         self._backlog_since = inf
+        self._deferred: list[DeferredPacket] = []
         self._flow_tags = FlowTags()
         self._pending_syns = PendingSyns(self.flows)
 
@@ -153,6 +160,7 @@
     def on_backlog(self, now: float) -> None:
         """Record that more packets are waiting than are handled at a time.
 
+        Deferred packets are sent on: their answers may be among those that wait.
         Retransmissions that wait behind the packets that they repeat are no evidence
         against servers.
 
@@ -160,17 +168,21 @@
             now: Monotonic time in seconds.
         """
         self._backlog_since = min(self._backlog_since, now)
+        deferred, self._deferred = self._deferred, []
+        for each in deferred:
+            self._send(each.server, each.packet, each.tag)
 
     def on_receive_queue_empty(self, now: float) -> None:
-        """Record SYNs that were not answered in time as evidence against servers.
+        """Judge which servers answer; send or reset what was deferred.
 
-        Called when all received packets have been handled: after a pause of this
-        instance, an answer may still be in the receive queue behind other packets.
+        Called when all received packets have been handled. Retransmitted data and SYNs
+        that were not answered in time are evidence against servers.
 
         Args:
             now: Monotonic time in seconds.
         """
         self._backlog_since = inf
+        self._judge_deferred(now)
         for pending in self._pending_syns.pop_unanswered(
             before=now - SYN_ANSWER_TIMEOUT_S
         ):
@@ -288,35 +300,62 @@
                 return
         if entry is None:
             entry = self.flows.create(packet.flow, now)
-        self._track_answers(entry, tracked, packet, now)
-        idempotent = route is not None and route.idempotent
-        if (
-            packet.data_bytes
-            and idempotent
-            and tracked.is_unreachable(
-                now, from_zone=self.zone, correction_time_s=self.correction_time_s
-            )
-            and not self.servers.is_own_path_suspect(self.zone, now)
-        ):
-            # The caller retries the request on a new flow at once.
-            self._reset(
-                packet,
-                "unreachable",
-                server=tracked.server.id,
-                silent_flows=tracked.reachability.unresponsive_flows(now),
-                silent_elsewhere=tracked.reachability.peer_unresponsive_flows,
-                **self._evidence_fields(tracked, now),
+        repeated = self._track_answers(entry, tracked, packet, now)
+        resettable = bool(packet.data_bytes) and route is not None and route.idempotent
+        if repeated or (resettable and self._is_unreachable(tracked, now)):
+            self._deferred.append(
+                DeferredPacket(
+                    packet, tracked, tag, repeated=repeated, resettable=resettable
+                )
             )
-            self.flows.remove(packet.flow)
             return
         self._send(tracked, packet, tag)
         if packet.flags & RST:
             self.flows.remove(packet.flow)
 
+    def _judge_deferred(self, now: float) -> None:
+        """Record deferred retransmissions as evidence; send or reset each packet."""
+        deferred, self._deferred = self._deferred, []
+        for each in deferred:
+            if each.repeated:
+                self.counters["repeated"] += 1
+                if each.server.record_retransmission(each.packet.flow, now):
+                    self._log_suspect(
+                        each.server, each.packet.flow, "unanswered data", now
+                    )
+                self._notify_evidence()
+        for each in deferred:
+            if each.resettable and self._is_unreachable(each.server, now):
+                self._reset_unreachable(each, now)
+            else:
+                self._send(each.server, each.packet, each.tag)
+
+    def _is_unreachable(self, tracked: TrackedServer, now: float) -> bool:
+        return tracked.is_unreachable(
+            now, from_zone=self.zone, correction_time_s=self.correction_time_s
+        ) and not self.servers.is_own_path_suspect(self.zone, now)
+
+    def _reset_unreachable(self, deferred: DeferredPacket, now: float) -> None:
+        """Reset a flow; its caller then retries the request on a new one at once."""
+        reachability = deferred.server.reachability
+        self._reset(
+            deferred.packet,
+            "unreachable",
+            server=deferred.server.server.id,
+            silent_flows=reachability.unresponsive_flows(now),
+            silent_elsewhere=reachability.peer_unresponsive_flows,
+            **self._evidence_fields(deferred.server, now),
+        )
+        self.flows.remove(deferred.packet.flow)
+
     def _track_answers(
         self, entry: FlowEntry, tracked: TrackedServer, packet: TaggedPacket, now: float
-    ) -> None:
-        """Derive from a caller's packet whether its server answers; count requests."""
+    ) -> bool:
+        """Derive from a caller's packet whether its server answers; count requests.
+
+        Returns:
+            Whether the packet repeats data that may have remained unanswered.
+        """
         if not entry.established:
             if entry.server is not None:  # the server answered the SYN
                 self._record_answer(tracked, packet.flow, now)
@@ -334,7 +373,7 @@
             self._record_answer(tracked, packet.flow, now)
         entry.last_seen_at = now
         if not packet.data_bytes:
-            return
+            return False
         if entry.seq is None or is_after(packet.seq, entry.seq):
             entry.seq = packet.seq
             entry.sent_at = now
@@ -343,15 +382,12 @@
                 if not entry.next_request_counted:
                     tracked.record_request(now)
                 entry.next_request_counted = False
-        elif (
+            return False
+        return (
             packet.seq == entry.seq
             and now - entry.sent_at >= MIN_RETRANSMISSION_DELAY_S
             and entry.sent_at < self._backlog_since
-        ):
-            self.counters["repeated"] += 1
-            if tracked.record_retransmission(packet.flow, now):
-                self._log_suspect(tracked, packet.flow, "unanswered data", now)
-            self._notify_evidence()
+        )
 
     def _cold_opens_share_per_s(self, service: str) -> float:
         """Return this instance's share of the rate that a cold server can handle."""
--- a/tests/steering/harness.py
+++ b/tests/steering/harness.py
@@ -1,6 +1,7 @@
 """A router whose link and log record what they receive."""
 
 from collections import Counter
+from contextlib import contextmanager
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import (
@@ -71,10 +72,14 @@
 
 
 class Harness:
-    """One router under test; `now` is the time of the next packet."""
+    """One router under test; `now` is the time of the next packet.
+
+    Each packet arrives alone, except for those of `queued`.
+    """
 
     def __init__(self, *servers, zone="a", table=None):
         self.now = START_TIME_S
+        self._is_queued = False
         self.link = RecordingLink()
         self.directory = Directory()
         self.counters = Counter()
@@ -105,8 +110,18 @@
         )
         count = len(self.link.sent)
         self.router.handle(packet, self.now)
+        if not self._is_queued:
+            self.router.on_receive_queue_empty(self.now)
         return [name for name, _, _ in self.link.sent[count:]]
 
+    @contextmanager
+    def queued(self):
+        """Handle packets that waited together in the receive queue."""
+        self._is_queued = True
+        yield
+        self._is_queued = False
+        self.router.on_receive_queue_empty(self.now)
+
     def open(self, flow=b"flow", *, retransmission=0, endpoint=DESK_ENDPOINT):
         """Open a flow; return the server that was chosen, or None."""
         sent = self.handle(
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -3,6 +3,7 @@
 from magnoliaslip.registry.store_client import ServerChange
 from magnoliaslip.steering.packet import PacketFlags
 from magnoliaslip.steering.reachability import (
+    CORRECTION_TIME_S,
     EVIDENCE_MAX_AGE_S,
     PROBE_INTERVAL_S,
     SYN_ANSWER_TIMEOUT_S,
@@ -50,9 +51,9 @@
     harness = Harness(server("i-1"), server("i-2"))
     chosen = harness.open(flow=b"first")
     harness.now += 0.5
-    harness.handle(flow=b"other", flags=PacketFlags.SYN)
-    establish(harness, b"first", chosen)
-    harness.router.on_receive_queue_empty(harness.now)
+    with harness.queued():
+        harness.handle(flow=b"other", flags=PacketFlags.SYN)
+        establish(harness, b"first", chosen)
     assert all(tracked.admits(harness.now) for tracked in harness.router.servers)
 
 
@@ -126,16 +127,69 @@
 def test_retransmissions_that_waited_in_the_receive_queue_are_no_evidence():
     # An instance that is too slow handles a packet and its copy long after they came.
     harness = Harness(server("i-1"), server("i-2"))
-    harness.router.on_backlog(harness.now)
-    leave_unanswered(harness, "i-1", 4)
+    with harness.queued():
+        harness.router.on_backlog(harness.now)
+        leave_unanswered(harness, "i-1", 4)
     assert not harness.link.resets
-    harness.router.on_receive_queue_empty(harness.now)
     harness.now += 0.4
     for n in range(4):
         request(harness, bytes([n]), "i-1")
     assert harness.link.resets
 
 
+def answer(harness, flow, name):
+    """Handle the caller's acknowledgement of an answer."""
+    harness.handle(flow=flow, tag=harness.tag(name), seq=190, ack=900)
+
+
+def test_answers_behind_retransmissions_in_the_receive_queue_prevent_resets():
+    # A paused instance finds copies in its queue before the answers that came later.
+    harness = Harness(server("i-1"), server("i-2"))
+    flows = [bytes([n]) for n in range(3)]
+    for flow in flows:
+        establish(harness, flow, "i-1")
+        request(harness, flow, "i-1")
+    harness.now += 0.25
+    with harness.queued():
+        for flow in flows:
+            request(harness, flow, "i-1")
+        for flow in flows:
+            answer(harness, flow, "i-1")
+    assert not harness.link.resets
+    assert all(tracked.admits(harness.now) for tracked in harness.router.servers)
+
+
+def test_answers_behind_a_request_in_the_receive_queue_prevent_its_reset():
+    # The evidence of the time before a pause says nothing about the time after it.
+    harness = Harness(server("i-1"), server("i-2"))
+    harness.router.correction_time_s = CORRECTION_TIME_S
+    leave_unanswered(harness, "i-1", 4)
+    harness.now += CORRECTION_TIME_S + 0.05
+    with harness.queued():
+        establish(harness, b"next", "i-1")
+        request(harness, b"next", "i-1")
+        answer(harness, b"\0", "i-1")
+    assert not harness.link.resets
+    assert [
+        name for name, packet, _ in harness.link.sent if packet.flow == b"next"
+    ] == [
+        "i-1",
+        "i-1",
+    ]
+
+
+def test_deferred_packets_are_sent_on_while_more_packets_wait():
+    harness = Harness(server("i-1"), server("i-2"))
+    leave_unanswered(harness, "i-1", 3)
+    resets = len(harness.link.resets)
+    with harness.queued():
+        establish(harness, b"next", "i-1")
+        assert request(harness, b"next", "i-1") == []
+        harness.router.on_backlog(harness.now)
+        assert harness.link.sent[-1][1].flow == b"next"
+    assert len(harness.link.resets) == resets
+
+
 def test_two_flows_of_a_server_in_the_own_zone_are_not_reset():
     # Guards against resets by a zone's evidence within that zone, as under a burst.
     harness = Harness(*(server(f"i-{n}") for n in range(1, 4)))
