Send deferred packets before the end of their flow, and after an error with another one

Change: deferred packets of a flow are sent before such a packet; deferred packets are taken one by one, and after an error the rest follows. Result: test_deferred_data_is_sent_before_the_end_of_its_flow and test_unexpected_error_with_a_deferred_packet_does_not_lose_the_others failed before; tests of steering and runtime pass.

--- a/src/magnoliaslip/runtime/forwarder.py
+++ b/src/magnoliaslip/runtime/forwarder.py
@@ -78,13 +78,19 @@
                 self.counters["drop_malformed"] += 1
             except Exception:
                 self._record_error(datagram=datagram[:64].hex())
-        try:
-            if len(datagrams) < BATCH_DATAGRAMS:
-                self.router.on_receive_queue_empty(now)
-            else:
-                self.router.on_backlog(now)
-        except Exception:
-            self._record_error()
+        is_queue_empty = len(datagrams) < BATCH_DATAGRAMS
+        finish = (
+            self.router.on_receive_queue_empty
+            if is_queue_empty
+            else self.router.on_backlog
+        )
+        # After an error with one deferred packet, the next call goes on with the rest.
+        for _ in range(len(datagrams) + 1):
+            try:
+                finish(now)
+                break
+            except Exception:
+                self._record_error()
 
     def _record_error(self, **fields: str) -> None:
         """Record the current exception: one packet's fault must not stop all others."""
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,6 +1,6 @@
 """Places new flows on backend servers and forwards tagged packets."""
 
-from collections import Counter
+from collections import Counter, deque
 from collections.abc import Callable, Collection
 from math import inf
 from typing import Any
@@ -31,6 +31,7 @@
 
 SYN = int(PacketFlags.SYN)
 RST = int(PacketFlags.RST)
+FIN = int(PacketFlags.FIN)
 
 
 class TagRouter:
@@ -116,7 +117,7 @@
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         # Time since which received packets have been waiting, else infinity.
         self._backlog_since = inf
-        self._deferred: list[DeferredPacket] = []
+        self._deferred: deque[DeferredPacket] = deque()
         self._flow_tags = FlowTags()
         self._pending_syns = PendingSyns(self.flows)
 
@@ -141,6 +142,8 @@
         """
         table = self._directory.table
         route = table.routes.get(packet.endpoint) if table else None
+        if self._deferred and packet.flags & (SYN | FIN | RST):
+            self._release_deferred(packet.flow)
         if not packet.flags & SYN:
             self._forward(packet, route, now)
         elif table is None:
@@ -168,9 +171,8 @@
             now: Monotonic time in seconds.
         """
         self._backlog_since = min(self._backlog_since, now)
-        deferred, self._deferred = self._deferred, []
-        for each in deferred:
-            self._send(each.server, each.packet, each.tag)
+        while self._deferred:
+            self._send_deferred(self._deferred.popleft())
 
     def on_receive_queue_empty(self, now: float) -> None:
         """Judge which servers answer; send or reset what was deferred.
@@ -300,12 +302,12 @@
                 return
         if entry is None:
             entry = self.flows.create(packet.flow, now)
-        repeated = self._track_answers(entry, tracked, packet, now)
+        is_evidence = self._track_answers(entry, tracked, packet, now)
         resettable = bool(packet.data_bytes) and route is not None and route.idempotent
-        if repeated or (resettable and self._is_unreachable(tracked, now)):
+        if is_evidence or (resettable and self._is_unreachable(tracked, now)):
             self._deferred.append(
                 DeferredPacket(
-                    packet, tracked, tag, repeated=repeated, resettable=resettable
+                    packet, tracked, tag, is_evidence=is_evidence, resettable=resettable
                 )
             )
             return
@@ -314,21 +316,31 @@
             self.flows.remove(packet.flow)
 
     def _judge_deferred(self, now: float) -> None:
-        """Record deferred retransmissions as evidence; send or reset each packet."""
-        deferred, self._deferred = self._deferred, []
-        for each in deferred:
-            if each.repeated:
+        """Record deferred retransmissions as evidence; send or reset each packet.
+
+        After an error with one packet, the next call continues with the others.
+        """
+        for each in self._deferred:
+            if each.is_evidence:
+                each.is_evidence = False
                 self.counters["repeated"] += 1
                 if each.server.record_retransmission(each.packet.flow, now):
                     self._log_suspect(
                         each.server, each.packet.flow, "unanswered data", now
                     )
                 self._notify_evidence()
-        for each in deferred:
+        while self._deferred:
+            each = self._deferred.popleft()
             if each.resettable and self._is_unreachable(each.server, now):
                 self._reset_unreachable(each, now)
             else:
-                self._send(each.server, each.packet, each.tag)
+                self._send_deferred(each)
+
+    def _release_deferred(self, flow: bytes) -> None:
+        """Send the deferred packets of a flow that ends, or whose port is reused."""
+        for each in [each for each in self._deferred if each.packet.flow == flow]:
+            self._deferred.remove(each)
+            self._send_deferred(each)
 
     def _is_unreachable(self, tracked: TrackedServer, now: float) -> bool:
         return tracked.is_unreachable(
@@ -354,7 +366,8 @@
         """Derive from a caller's packet whether its server answers; count requests.
 
         Returns:
-            Whether the packet repeats data that may have remained unanswered.
+            Whether the packet is evidence against the server, as it repeats data, if
+            no answer is found in the receive queue.
         """
         if not entry.established:
             if entry.server is not None:  # the server answered the SYN
@@ -454,6 +467,9 @@
         if self.on_evidence is not None:
             self.on_evidence()
 
+    def _send_deferred(self, deferred: DeferredPacket) -> None:
+        self._send(deferred.server, deferred.packet, deferred.tag)
+
     def _send(self, tracked: TrackedServer, packet: TaggedPacket, tag: int) -> None:
         self.counters["forwarded"] += 1
         self._link.send_to_server(tracked.server, packet, tag)
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -10,7 +10,8 @@
 from magnoliaslip.core.clock import ManualClock
 from magnoliaslip.registry.store_client import ChangeBatch, RoutesChange, ServerChange
 from magnoliaslip.runtime.forwarder import TagForwarder
-from tests.steering.harness import RecordingLog, routes, server
+from magnoliaslip.steering.tags import flow_tag, server_key
+from tests.steering.harness import DESK_ENDPOINT, RecordingLog, routes, server
 
 SYN = bytes.fromhex("9c4101bb64400007c6120001112233440000000000001000") + bytes(8)
 
@@ -57,6 +58,28 @@
     assert "int too big" in errors[0]["error"]
 
 
+def data(port):
+    """Return a packet with 90 bytes of an open flow."""
+    tag = flow_tag(server_key(server("i-1")), DESK_ENDPOINT)
+    head = SYN[:1] + bytes([port]) + SYN[2:20] + bytes([0, 90, 2, 0])
+    return head + tag.to_bytes(4, "big") + bytes(4 + 90)
+
+
+def test_unexpected_error_with_a_deferred_packet_does_not_lose_the_others():
+    with Socket(AF_INET, SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        each = forwarder(sock, link=FaultyLink(sock))
+        each.router._link.sent = 1  # past its fault
+        packets = [data(port) for port in range(2)]
+        each.handle_batch(packets)
+        assert each.router._link.sent == 3
+        each.router._link.sent = 0
+        each._clock.advance(0.2)
+        each.handle_batch(packets)
+        assert each.router._link.sent == 2
+    assert each.counters["drop_error"] == 1
+
+
 def test_router_knows_how_many_packets_waited_together():
     with Socket(AF_INET, SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -1,5 +1,7 @@
 """Guards against live servers that are avoided and failed ones that are not."""
 
+import pytest
+
 from magnoliaslip.registry.store_client import ServerChange
 from magnoliaslip.steering.packet import PacketFlags
 from magnoliaslip.steering.reachability import (
@@ -190,6 +192,24 @@
     assert len(harness.link.resets) == resets
 
 
+@pytest.mark.parametrize(
+    "last", [PacketFlags.RST, PacketFlags.SYN, PacketFlags.FIN | PacketFlags.ACK]
+)
+def test_deferred_data_is_sent_before_the_end_of_its_flow(last):
+    # Guards against a reset of the next flow between the same addresses and ports.
+    harness = Harness(server("i-1"))
+    leave_unanswered(harness, "i-1", 4)
+    resets = len(harness.link.resets)
+    with harness.queued():
+        establish(harness, b"next", "i-1")
+        request(harness, b"next", "i-1")
+        harness.handle(flow=b"next", tag=harness.tag("i-1"), flags=last)
+    sent = [packet for _, packet, _ in harness.link.sent if packet.flow == b"next"]
+    assert [packet.flags for packet in sent][-1] == last
+    assert sent[-2].data_bytes
+    assert len(harness.link.resets) == resets
+
+
 def test_two_flows_of_a_server_in_the_own_zone_are_not_reset():
     # Guards against resets by a zone's evidence within that zone, as under a burst.
     harness = Harness(*(server(f"i-{n}") for n in range(1, 4)))
