Read the digests that have arrived before a server is judged

Cause, found by the review: an instance that was busy reads its packets first. What corrects its evidence, an answer that another instance of its zone got, waits in the control socket meanwhile, and the time that others have for corrections passes while this instance is not running. Change: before the evidence on servers is used, digests that have arrived are read.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -13,7 +13,10 @@
 from magnoliaslip.core.clock import Clock
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.core.events import Event, log_event
-from magnoliaslip.dataplane.udp_reader import read_datagrams_with_source
+from magnoliaslip.dataplane.udp_reader import (
+    read_datagrams_with_source,
+    receive_batch_with_source,
+)
 from magnoliaslip.gossip.announcement_limiter import AnnouncementLimiter
 from magnoliaslip.gossip.digest import (
     DIGEST_FORMAT,
@@ -213,6 +216,14 @@
         """Receive digests until cancelled."""
         await read_datagrams_with_source(self._sock, self.receive_datagram)
 
+    def receive_pending(self) -> None:
+        """Receive the digests that have already arrived, one batch at most.
+
+        After a pause of this instance, corrections of its evidence may wait there.
+        """
+        for data, source in receive_batch_with_source(self._sock):
+            self.receive_datagram(data, source)
+
     def receive_datagram(self, data: bytes, source: Address) -> None:
         """Decode a datagram and apply the digest that it contains."""
         if source.host == self._sock.getsockname()[0]:
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -67,6 +67,7 @@
             this one.
         observe: Called with the name of a histogram and a duration in seconds.
         on_evidence: Called when a packet was not answered in time.
+        before_judgement: Called before the evidence on servers is used.
         queued_packets: Packets that were in the receive queue at once, when the one
             that is handled now was read.
         flows: Entries of the flows that this instance forwards.
@@ -81,6 +82,7 @@
         "_link",
         "_pending_syns",
         "_selector",
+        "before_judgement",
         "correction_time_s",
         "counters",
         "flows",
@@ -110,6 +112,7 @@
         self.log = log
         self.observe: Callable[[str, float], None] | None = None
         self.on_evidence: Callable[[], None] | None = None
+        self.before_judgement: Callable[[], None] | None = None
         self.instance_count = 1
         self.correction_time_s = 0.0
         self.queued_packets = 1
@@ -320,6 +323,8 @@
 
         After an error with one packet, the next call continues with the others.
         """
+        if self._deferred and self.before_judgement is not None:
+            self.before_judgement()
         for each in self._deferred:
             if each.is_evidence:
                 each.is_evidence = False
--- a/tests/gossip/fleet.py
+++ b/tests/gossip/fleet.py
@@ -19,15 +19,25 @@
 
 
 class FakeSocket:
-    """A socket that keeps sent datagrams for the test to deliver."""
+    """A socket that keeps sent datagrams for the test to deliver.
+
+    Attributes:
+        waiting: Datagrams in the receive queue, each with its source.
+    """
 
     def __init__(self, host):
         self.host = host
         self.sent = []
+        self.waiting = []
 
     def getsockname(self):
         return self.host, PORT
 
+    def recvfrom(self, size):
+        if not self.waiting:
+            raise BlockingIOError
+        return self.waiting.pop(0)
+
     def sendto(self, data, address):
         assert len(data) <= MAX_DIGEST_BYTES
         self.sent.append((data, address[0]))
