Ignore evidence of other instances that is out of date when a server is judged

Cause, found by the review: how many flows others left unanswered was counted when their digest arrived and then once in half a second. After a pause, evidence of 1.7 s ago still counted, although evidence lasts for 1 s. Change: the evidence of others is brought up to date before it is used. Result: test_evidence_of_others_from_before_a_pause_resets_nothing failed before.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -216,13 +216,16 @@
         """Receive digests until cancelled."""
         await read_datagrams_with_source(self._sock, self.receive_datagram)
 
-    def receive_pending(self) -> None:
-        """Receive the digests that have already arrived, one batch at most.
+    def update_evidence(self) -> None:
+        """Bring the evidence of other instances up to date.
 
-        After a pause of this instance, corrections of its evidence may wait there.
+        Receives the digests that have already arrived, one batch at most: after a pause
+        of this instance, corrections of its evidence may be among them. Evidence that
+        is no longer fresh is removed.
         """
         for data, source in receive_batch_with_source(self._sock):
             self.receive_datagram(data, source)
+        self._evidence.apply(self._clock.monotonic())
 
     def receive_datagram(self, data: bytes, source: Address) -> None:
         """Decode a datagram and apply the digest that it contains."""
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -158,7 +158,7 @@
                 on_directory_change=self._on_directory_change,
             )
             self._forwarder.router.on_evidence = self._gossip.announce
-            self._forwarder.router.before_judgement = self._gossip.receive_pending
+            self._forwarder.router.before_judgement = self._gossip.update_evidence
             metrics = Address(cfg.control.host, cfg.metrics_port)
             tasks = await stack.enter_async_context(create_task_group())
             tasks.start_soon(self._handle_signals)
--- a/tests/gossip/test_late_instance.py
+++ b/tests/gossip/test_late_instance.py
@@ -39,7 +39,7 @@
             on_newer_revision=lambda host, revision: None,
             on_directory_change=lambda: None,
         )
-        self.harness.router.before_judgement = self.exchange.receive_pending
+        self.harness.router.before_judgement = self.exchange.update_evidence
         self.tracked = self.exchange._servers.candidates("desk")[0]
 
     def advance(self, seconds):
@@ -82,6 +82,15 @@
     assert not instance.harness.link.resets
 
 
+def test_evidence_of_others_from_before_a_pause_resets_nothing():
+    instance = late_instance()
+    instance.exchange.receive_datagram(instance.evidence(1, 2, age_ms=900)[0], PEER)
+    instance.advance(0.6)
+    instance.leave_one_flow_unanswered()
+    assert request(instance.harness, b"idle", "i-1") == ["i-1"]
+    assert not instance.harness.link.resets
+
+
 def test_evidence_of_others_without_a_correction_resets():
     instance = late_instance()
     instance.leave_one_flow_unanswered()
