Do not count the time that a copy waited as silence of its server

Cause, found by the review: a copy of a request is evidence if the server answered nothing in the 0.2 s before it. That was counted from when the instance read the copy. A busy instance reads it later, and sends the server nothing meanwhile that could be answered. Change: the time is counted from when the receive queue was last empty, after which the copy arrived.

--- a/src/magnoliaslip/steering/reachability.py
+++ b/src/magnoliaslip/steering/reachability.py
@@ -98,13 +98,22 @@
         self._last_evidence_at = now
         return self._mark_suspect(now)
 
-    def record_retransmission(self, flow: bytes, now: float) -> bool:
+    def record_retransmission(
+        self, flow: bytes, now: float, *, arrived_after: float
+    ) -> bool:
         """Record that data was retransmitted because no answer came.
 
+        Args:
+            flow: The flow of the data.
+            now: Monotonic time in seconds.
+            arrived_after: Monotonic time in seconds after which the packet arrived. A
+                busy instance reads it later, and the time until then is no silence of
+                the server, as no other packets were sent to it either.
+
         Returns:
             Whether the server became suspect.
         """
-        if self._last_answer_at > now - RETRANSMISSION_TIMEOUT_S:
+        if self._last_answer_at > arrived_after - RETRANSMISSION_TIMEOUT_S:
             return False
         if not self.unresponsive(now):
             self._unresponsive_since = now
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -81,6 +81,7 @@
         "_flow_tags",
         "_link",
         "_pending_syns",
+        "_queue_empty_at",
         "_selector",
         "before_judgement",
         "correction_time_s",
@@ -120,6 +121,8 @@
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         # Time since which received packets have been waiting, else infinity.
         self._backlog_since = inf
+        # Time at which the receive queue was last empty, else minus infinity.
+        self._queue_empty_at = -inf
         self._deferred: deque[DeferredPacket] = deque()
         self._flow_tags = FlowTags()
         self._pending_syns = PendingSyns(self.flows)
@@ -188,6 +191,7 @@
         """
         self._backlog_since = inf
         self._judge_deferred(now)
+        self._queue_empty_at = now
         for pending in self._pending_syns.pop_unanswered(
             before=now - SYN_ANSWER_TIMEOUT_S
         ):
@@ -329,7 +333,9 @@
             if each.is_evidence:
                 each.is_evidence = False
                 self.counters["repeated"] += 1
-                if each.server.record_retransmission(each.packet.flow, now):
+                if each.server.record_retransmission(
+                    each.packet.flow, now, arrived_after=self._queue_empty_at
+                ):
                     self._log_suspect(
                         each.server, each.packet.flow, "unanswered data", now
                     )
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -160,11 +160,23 @@
         self.zone_reachability.record_answer(now)
         return self.reachability.record_answer(now)
 
-    def record_retransmission(self, flow: bytes, now: float) -> bool:
-        """Record retransmitted data; return whether the server became suspect."""
+    def record_retransmission(
+        self, flow: bytes, now: float, *, arrived_after: float
+    ) -> bool:
+        """Record retransmitted data; return whether the server became suspect.
+
+        Args:
+            flow: The flow of the data.
+            now: Monotonic time in seconds.
+            arrived_after: See `Reachability.record_retransmission`.
+        """
         self._active.add(self)
-        self.zone_reachability.record_retransmission(flow, now)
-        return self.reachability.record_retransmission(flow, now)
+        self.zone_reachability.record_retransmission(
+            flow, now, arrived_after=arrived_after
+        )
+        return self.reachability.record_retransmission(
+            flow, now, arrived_after=arrived_after
+        )
 
     def record_unanswered_syn(self, flow: bytes, sent_at: float, now: float) -> bool:
         """Record an unanswered SYN; return whether the server became suspect."""
--- a/tests/gossip/test_exchange.py
+++ b/tests/gossip/test_exchange.py
@@ -221,9 +221,9 @@
 
 
 def add_three_unresponsive_flows(name, first, second, now):
-    first.tracked(name).record_retransmission(b"1", now)
-    second.tracked(name).record_retransmission(b"2", now)
-    second.tracked(name).record_retransmission(b"3", now)
+    first.tracked(name).record_retransmission(b"1", now, arrived_after=now)
+    second.tracked(name).record_retransmission(b"2", now, arrived_after=now)
+    second.tracked(name).record_retransmission(b"3", now, arrived_after=now)
     assert second.tracked(name).reachability.suspect
 
 
@@ -277,7 +277,7 @@
         (first, "i-1", "i-2"),
         (second, "i-2", "i-1"),
     ):
-        node.tracked(unresponsive).record_retransmission(b"1", now)
+        node.tracked(unresponsive).record_retransmission(b"1", now, arrived_after=now)
         receive_answer(node, responsive, now)
     first.exchange.announce()
     rounds = 0
--- a/tests/gossip/test_fleet.py
+++ b/tests/gossip/test_fleet.py
@@ -195,7 +195,7 @@
 
 def suspect(node, name, flows, now):
     for flow in flows:
-        node.tracked(name).record_retransmission(flow, now)
+        node.tracked(name).record_retransmission(flow, now, arrived_after=now)
     node.exchange.announce()
 
 
--- a/tests/steering/test_reachability.py
+++ b/tests/steering/test_reachability.py
@@ -180,6 +180,25 @@
     ]
 
 
+@pytest.mark.parametrize("delay_s", [0.0, 0.1, 0.15, 0.3])
+def test_copies_that_are_read_late_are_no_evidence_of_a_longer_silence(delay_s):
+    # The server answered one flow 0.1 s before the copies of the others arrived.
+    harness = Harness(server("i-1"), server("i-2"))
+    flows = [bytes([n]) for n in range(4)]
+    for flow in (*flows, b"idle"):
+        establish(harness, flow, "i-1")
+    for flow in flows:
+        request(harness, flow, "i-1")
+    harness.now += 0.1
+    answer(harness, flows[3], "i-1")
+    harness.now += 0.1 + delay_s
+    with harness.queued():
+        for flow in flows[:3]:
+            request(harness, flow, "i-1")
+        request(harness, b"idle", "i-1")
+    assert not harness.link.resets
+
+
 def test_deferred_packets_are_sent_on_while_more_packets_wait():
     harness = Harness(server("i-1"), server("i-2"))
     leave_unanswered(harness, "i-1", 3)
