Wait for corrections until an instance knows the size of its fleet

One that had just started knew no others, took the fleet for a small one, and waited for nobody. Result: test_instance_that_does_not_know_the_fleet_yet_waits_for_corrections and test_flows_are_not_reset_without_time_for_corrections_during_the_start; both would fail before, as there was no such time.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -261,6 +261,14 @@
             return False
         return self.members.watches_store(now, reads_store=self._reads_store())
 
+    def is_small_fleet(self) -> bool:
+        """Check whether each instance sends its digests to all others.
+
+        False until this one has had the time to learn of the others.
+        """
+        is_joining = self._clock.monotonic() < self._started_at + JOINING_DURATION_S
+        return self.members.is_mesh and not is_joining
+
     def digest(self, now: float, *, other_zone: bool = False) -> Digest:
         """Return the digest of this instance.
 
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -342,7 +342,9 @@
             # Includes instances that are not live: in a partition they keep running.
             members = self._gossip.members
             router.instance_count = members.fleet_size
-            router.correction_time_s = 0.0 if members.is_mesh else CORRECTION_TIME_S
+            router.correction_time_s = (
+                0.0 if self._gossip.is_small_fleet() else CORRECTION_TIME_S
+            )
             self._log_handler.report_suppressed()
 
     async def _handle_signals(self) -> None:
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -17,7 +17,7 @@
 from magnoliaslip.steering.link import TaggedLink
 from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
 from magnoliaslip.steering.pending_syns import PendingSyns
-from magnoliaslip.steering.reachability import SYN_ANSWER_TIMEOUT_S
+from magnoliaslip.steering.reachability import CORRECTION_TIME_S, SYN_ANSWER_TIMEOUT_S
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
 from magnoliaslip.steering.tags import flow_tag
 
@@ -62,7 +62,8 @@
     Attributes:
         zone: Availability zone of this instance.
         correction_time_s: Time in seconds that other instances have to correct the
-            evidence against a server before its flows are reset.
+            evidence against a server before its flows are reset; `CORRECTION_TIME_S`
+            until the size of the fleet is known.
         instance_count: Instances that share the budgets of cold servers, including
             this one.
         observe: Called with the name of a histogram and a duration in seconds.
@@ -115,7 +116,7 @@
         self.on_evidence: Callable[[], None] | None = None
         self.before_judgement: Callable[[], None] | None = None
         self.instance_count = 1
-        self.correction_time_s = 0.0
+        self.correction_time_s = CORRECTION_TIME_S
         self.queued_packets = 1
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
--- a/tests/gossip/test_late_instance.py
+++ b/tests/gossip/test_late_instance.py
@@ -11,7 +11,7 @@
     ServerLoad,
     encode_digest,
 )
-from magnoliaslip.gossip.exchange import GossipExchange
+from magnoliaslip.gossip.exchange import JOINING_DURATION_S, GossipExchange
 from tests.gossip.fleet import PORT, FakeSocket
 from tests.steering.harness import Harness, server
 from tests.steering.test_reachability import establish, request
@@ -91,6 +91,14 @@
     assert not instance.harness.link.resets
 
 
+def test_instance_that_does_not_know_the_fleet_yet_waits_for_corrections():
+    # It has not heard from the instances whose answers correct its evidence.
+    instance = late_instance()
+    assert not instance.exchange.is_small_fleet()
+    instance.advance(JOINING_DURATION_S)
+    assert instance.exchange.is_small_fleet()
+
+
 def test_evidence_of_others_without_a_correction_resets():
     instance = late_instance()
     instance.leave_one_flow_unanswered()
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -10,6 +10,7 @@
 from magnoliaslip.core.clock import ManualClock
 from magnoliaslip.registry.store_client import ChangeBatch, RoutesChange, ServerChange
 from magnoliaslip.runtime.forwarder import TagForwarder
+from magnoliaslip.steering.reachability import CORRECTION_TIME_S
 from magnoliaslip.steering.tags import flow_tag, server_key
 from tests.steering.harness import DESK_ENDPOINT, RecordingLog, routes, server
 
@@ -80,6 +81,12 @@
     assert each.counters["drop_error"] == 1
 
 
+def test_flows_are_not_reset_without_time_for_corrections_during_the_start():
+    with Socket(AF_INET, SOCK_DGRAM) as sock:
+        sock.bind(("127.0.0.1", 0))
+        assert forwarder(sock).router.correction_time_s == CORRECTION_TIME_S
+
+
 def test_router_knows_how_many_packets_waited_together():
     with Socket(AF_INET, SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
--- a/tests/steering/harness.py
+++ b/tests/steering/harness.py
@@ -91,6 +91,7 @@
             counters=self.counters,
             log=self.log,
         )
+        self.router.correction_time_s = 0.0  # as in a small fleet
         self.publish(RoutesChange(table or routes()))
         self.publish(*(ServerChange(s.id, s) for s in servers))
 
