Read the era of the store and show it

Cause: the store states an era in the header Store-Era of each answer, which rises when it is restored from an older copy. Nothing read it, so neither logs nor the status of an instance could tell a restored store from a slow one, or which of two equal revisions is meant. Change: StorePosition is an era and a revision.

A store without the header is in era 0. Nothing is decided by the era yet.

--- a/src/magnoliaslip/gossip/digest.py
+++ b/src/magnoliaslip/gossip/digest.py
@@ -4,6 +4,7 @@
 from msgspec.msgpack import Decoder, Encoder
 
 from magnoliaslip.core.errors import PeerError
+from magnoliaslip.registry.model import StorePosition
 
 MAX_DIGEST_BYTES = 1400  # fits into one datagram on all common paths
 DIGEST_FORMAT = 3
@@ -104,9 +105,10 @@
         evidence: Servers that are suspect.
         members: Some instances of its zone.
         zones: Summaries of its zone and of some others.
-        changes_after: Revision that `changes` follow.
+        changes_after: Revision of the same era that `changes` follow.
         changes: The latest changes of the directory, encoded; empty if there were none
             lately, or too many.
+        era: Era of the store that its directory has.
     """
 
     format: int
@@ -122,6 +124,12 @@
     zones: tuple[ZoneReport, ...] = ()
     changes_after: int = 0
     changes: bytes = b""
+    era: int = 0
+
+    @property
+    def position(self) -> StorePosition:
+        """Era and revision of the directory of the instance."""
+        return StorePosition(self.era, self.revision)
 
 
 _ENCODER = Encoder()
@@ -151,7 +159,7 @@
     zones = [digest.zone, *(report.zone for report in digest.zones)]
     if any(len(zone) > MAX_ZONE_NAME for zone in zones):
         raise PeerError("the digest contains a zone name that is too long")
-    numbers = [digest.heartbeat, digest.revision, digest.changes_after]
+    numbers = [digest.heartbeat, *digest.position, digest.changes_after]
     for load in digest.loads:
         numbers += (load.load, load.answer_ms)
     for item in digest.evidence:
--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -35,6 +35,7 @@
 )
 from magnoliaslip.gossip.recent_changes import RecentChanges
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.steering.servers import ServerSet
 
 # Announcements per second, and those that may follow each other at once.
@@ -74,8 +75,8 @@
         clock: Source of time.
         rng: Chooses the receivers of digests.
         reads_store: Returns whether the last read of the store succeeded.
-        on_newer_revision: Called with the host of an instance that has a newer
-            directory, and its revision.
+        on_newer_directory: Called with the host of an instance that has a newer
+            directory, and its position.
         on_directory_change: Called after changes from a digest were applied.
 
     Attributes:
@@ -92,7 +93,7 @@
         "_limiter",
         "_loads",
         "_on_directory_change",
-        "_on_newer_revision",
+        "_on_newer_directory",
         "_port",
         "_reads_store",
         "_recent_changes",
@@ -118,7 +119,7 @@
         clock: Clock,
         rng: Random,
         reads_store: Callable[[], bool],
-        on_newer_revision: Callable[[str, int], None],
+        on_newer_directory: Callable[[str, StorePosition], None],
         on_directory_change: Callable[[], None],
     ) -> None:
         host, self._port = sock.getsockname()[:2]
@@ -130,7 +131,7 @@
         self._clock = clock
         self._rng = rng
         self._reads_store = reads_store
-        self._on_newer_revision = on_newer_revision
+        self._on_newer_directory = on_newer_directory
         self._on_directory_change = on_directory_change
         self._leaving = False
         self._started_at = clock.monotonic()
@@ -250,7 +251,7 @@
             if self._recent_changes.apply(digest):
                 self._on_directory_change()
             else:
-                self._on_newer_revision(source.host, digest.revision)
+                self._on_newer_directory(source.host, digest.position)
         if has_news:
             self.announce()
 
@@ -296,6 +297,7 @@
             (own_report, *chosen),
             after,
             changes,
+            self._directory.era,
         )
 
     def _record_answers(self, digest: Digest, now: float) -> None:
--- a/src/magnoliaslip/gossip/recent_changes.py
+++ b/src/magnoliaslip/gossip/recent_changes.py
@@ -5,6 +5,7 @@
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.gossip.digest import Digest
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.registry.snapshot import decode_snapshot, encode_snapshot
 
 # Changes are sent along for this time in seconds; a digest reaches all instances of a
@@ -21,38 +22,39 @@
         directory: The directory.
     """
 
-    __slots__ = ("_cached", "_directory", "_revisions")
+    __slots__ = ("_cached", "_directory", "_positions")
 
     def __init__(self, directory: Directory) -> None:
         self._directory = directory
-        # Revisions and the monotonic times in seconds at which they were first seen.
-        self._revisions: deque[tuple[float, int]] = deque()
-        self._cached: tuple[int, int, bytes] = (0, 0, b"")
+        # Positions and the monotonic times in seconds at which they were first seen.
+        self._positions: deque[tuple[float, StorePosition]] = deque()
+        # First and last position of the changes, and the changes.
+        self._cached: tuple[StorePosition, StorePosition, bytes] | None = None
 
     def encode(self, now: float) -> tuple[int, bytes]:
-        """Return a revision and the encoded changes since then.
+        """Return a revision of the current era and the encoded changes since then.
 
         Returns:
             The changes of the last `SENT_FOR_S`; 0 and nothing if there were none, or
             they are too large.
         """
-        revision = self._directory.revision
-        revisions = self._revisions
-        if not revisions or revisions[-1][1] != revision:
-            revisions.append((now, revision))
-        # The first entry is the revision before the oldest change that is sent.
-        while len(revisions) > 1 and now - revisions[1][0] >= SENT_FOR_S:
-            revisions.popleft()
-        after = revisions[0][1]
-        if after in (0, revision):
+        position = self._directory.position
+        positions = self._positions
+        if not positions or positions[-1][1] != position:
+            positions.append((now, position))
+        # The first entry is the position before the oldest change that is sent.
+        while len(positions) > 1 and now - positions[1][0] >= SENT_FOR_S:
+            positions.popleft()
+        after = positions[0][1]
+        if after.revision == 0 or after == position:
             return 0, b""
-        if self._cached[:2] != (after, revision):
+        if self._cached is None or self._cached[:2] != (after, position):
             data = b""
             if self._directory.changes_since(after) is not None:
                 data = encode_snapshot(self._directory, after=after)
-            self._cached = after, revision, data
+            self._cached = after, position, data
         data = self._cached[2]
-        return (after, data) if len(data) <= MAX_CHANGES_BYTES else (0, b"")
+        return (after.revision, data) if len(data) <= MAX_CHANGES_BYTES else (0, b"")
 
     def apply(self, digest: Digest) -> bool:
         """Apply the changes of a digest that follow the revision of the directory.
@@ -61,7 +63,8 @@
             Whether they were applied. They are not if they are missing, begin later, or
             can't be decoded.
         """
-        if not digest.changes or digest.changes_after > self._directory.revision:
+        directory = self._directory
+        if not digest.changes or digest.changes_after > directory.revision:
             return False
         try:
             snapshot = decode_snapshot(digest.changes)
@@ -69,4 +72,4 @@
             return False  # the sender's snapshot is fetched, which logs what is wrong
         if snapshot.complete or snapshot.batch.revision != digest.revision:
             return False
-        return self._directory.ready and self._directory.apply(snapshot.batch)
+        return directory.ready and directory.apply(snapshot.batch)
--- a/src/magnoliaslip/gossip/snapshot_fetcher.py
+++ b/src/magnoliaslip/gossip/snapshot_fetcher.py
@@ -12,6 +12,7 @@
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.http_exchange import HttpProtocolError
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.registry.snapshot import decode_snapshot
 
 SNAPSHOT_PATH = "/v1/snapshot"
@@ -28,7 +29,7 @@
 
 
 class SnapshotFetcher:
-    """Fetches newer revisions from other instances.
+    """Fetches newer directories from other instances.
 
     An instance that watches the store first waits for its own watch to deliver them,
     unless its directory is not ready.
@@ -43,8 +44,8 @@
     __slots__ = (
         "_directory",
         "_host",
-        "_host_revision",
-        "_newer_revision",
+        "_host_position",
+        "_newer_directory",
         "_on_change",
         "_port",
         "_watches_store",
@@ -63,42 +64,41 @@
         self._on_change = on_change
         self._watches_store = watches_store
         self._host = ""
-        self._host_revision = 0
-        self._newer_revision = Signal()
+        self._host_position = StorePosition(0, 0)
+        self._newer_directory = Signal()
 
-    def on_newer_revision(self, host: str, revision: int) -> None:
+    def on_newer_directory(self, host: str, position: StorePosition) -> None:
         """Record that an instance has a newer directory.
 
         Args:
             host: IP address of the instance.
-            revision: Revision of its directory.
+            position: Position of its directory.
         """
-        if revision > self._host_revision or self._host_revision <= (
-            self._directory.revision
-        ):
-            self._host, self._host_revision = host, revision
-        self._newer_revision.set()
+        if position.revision > self._host_position.revision or not self._is_behind():
+            self._host, self._host_position = host, position
+        self._newer_directory.set()
 
     async def run(self) -> None:
-        """Fetch snapshots of newer revisions until cancelled."""
+        """Fetch snapshots of newer directories until cancelled."""
         while True:
-            await self._newer_revision.wait()
-            self._newer_revision = Signal()
+            await self._newer_directory.wait()
+            self._newer_directory = Signal()
             if self._directory.ready and self._watches_store():
                 await sleep(OWN_WATCH_DELAY_S)
             if self._is_behind():
                 await self._fetch_snapshot()
 
     def _is_behind(self) -> bool:
-        return self._host_revision > self._directory.revision
+        return self._host_position.revision > self._directory.revision
 
     async def _fetch_snapshot(self) -> None:
         address = Address(self._host, self._port)
+        era, revision = self._directory.position
         try:
             with fail_after(READ_TIMEOUT_S):
                 response = await http_get(
                     address,
-                    f"{SNAPSHOT_PATH}?after={self._directory.revision}",
+                    f"{SNAPSHOT_PATH}?era={era}&after={revision}",
                     max_body_bytes=MAX_SNAPSHOT_BYTES,
                 )
             if response.status != 200:
@@ -116,6 +116,7 @@
                 logger,
                 Event.SNAPSHOT_TAKEN,
                 member=address.host,
+                era=snapshot.batch.era,
                 revision=snapshot.batch.revision,
                 complete=snapshot.complete,
             )
--- a/src/magnoliaslip/ops/steering.py
+++ b/src/magnoliaslip/ops/steering.py
@@ -125,7 +125,7 @@
     lines = [
         f"instance   {status.id}, zone {status.zone}, "
         f"{'ready' if status.ready else 'not ready'}, {status.flows} flows",
-        f"directory  revision {status.revision}, "
+        f"directory  revision {status.revision} of era {status.era}, "
         f"routes version {status.routes_version}, "
         f"changed {_format_time(status.changed_at)}",
         f"zones out  {', '.join(status.zones_out) or 'none'}",
@@ -142,7 +142,7 @@
     """Format an explanation as text."""
     lines = [
         f"instance    {explanation.id}",
-        f"tables      revision {explanation.revision}, "
+        f"tables      revision {explanation.revision} of era {explanation.era}, "
         f"routes {explanation.routes_version}",
         f"service     {explanation.service or '-'}",
         f"new flow    {explanation.server or '-'}",
--- a/src/magnoliaslip/registry/directory.py
+++ b/src/magnoliaslip/registry/directory.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from magnoliaslip.registry.model import RegisteredServer, RouteTable
+from magnoliaslip.registry.model import RegisteredServer, RouteTable, StorePosition
 from magnoliaslip.registry.store_client import (
     Change,
     ChangeBatch,
@@ -18,11 +18,11 @@
 
 
 class Directory:
-    """Routes, registered servers and zones out of service, at one revision.
+    """Routes, registered servers and zones out of service, at one position.
 
     Attributes:
         generation: Increases with each batch of changes that is applied.
-        revision: The store's revision; 0 before the first read.
+        position: The store's era and revision; both 0 before the first read.
         table: Routes in force; None before the first publication was read.
         servers: Registered servers by identifier.
         zones_out: Availability zones that are out of service.
@@ -31,7 +31,7 @@
     __slots__ = (
         "_history",
         "generation",
-        "revision",
+        "position",
         "servers",
         "table",
         "zones_out",
@@ -39,7 +39,7 @@
 
     def __init__(self) -> None:
         self.generation = 0
-        self.revision = 0
+        self.position = StorePosition(0, 0)
         self.table: RouteTable | None = None
         self.servers: dict[str, RegisteredServer] = {}
         self.zones_out: set[str] = set()
@@ -48,6 +48,16 @@
             maxlen=MAX_HISTORY_ENTRIES
         )
 
+    @property
+    def era(self) -> int:
+        """The store's era; 0 before the first read."""
+        return self.position.era
+
+    @property
+    def revision(self) -> int:
+        """The store's revision within its era; 0 before the first read."""
+        return self.position.revision
+
     @property
     def ready(self) -> bool:
         """Whether there are routes and at least one registered server."""
@@ -63,7 +73,7 @@
             return False
         if batch.changes or not self._history:
             self._history.append((self.revision, batch.revision, batch.changes))
-        self.revision = batch.revision
+        self.position = batch.position
         self.generation += 1
         for change in batch.changes:
             self._apply_change(change)
@@ -82,18 +92,19 @@
         self.servers.clear()
         self.zones_out.clear()
         self._history.clear()
-        self.revision = batch.revision
+        self.position = batch.position
         return self.apply(batch)
 
-    def changes_since(self, revision: int) -> ChangeBatch | None:
-        """Return the current state of everything that changed after a revision.
+    def changes_since(self, position: StorePosition) -> ChangeBatch | None:
+        """Return the current state of everything that changed after a position.
 
         Args:
-            revision: Revision that another instance has.
+            position: Position that another instance has.
 
         Returns:
             The changes, or None when the history does not reach back that far.
         """
+        revision = position.revision
         if not self._history or revision < self._history[0][0]:
             return None
         changes: dict[tuple[str, str], Change] = {}
@@ -101,7 +112,7 @@
             if revision_after > revision:
                 for change in applied:
                     self._add_current_state(change, changes)
-        return ChangeBatch(self.revision, tuple(changes.values()))
+        return ChangeBatch(self.revision, tuple(changes.values()), era=self.era)
 
     def _add_current_state(
         self, change: Change, changes: dict[tuple[str, str], Change]
--- a/src/magnoliaslip/registry/model.py
+++ b/src/magnoliaslip/registry/model.py
@@ -1,11 +1,30 @@
 """Data types for routes, services and registered backend servers."""
 
+from typing import NamedTuple
+
 from magnoliaslip.core.value_object import ValueObject
 
 Endpoint = tuple[int, int]  # IPv4 address as a number, port
 SocketAddress = tuple[str, int]  # host, port
 
 
+class StorePosition(NamedTuple):
+    """A point in the history of the store; a later one compares greater.
+
+    Attributes:
+        era: Rises when the store is restored from an older copy; the store then gives
+            out revisions again that it had given out before. 0 if the store states
+            none.
+        revision: The store's revision within the era; rises with each change.
+
+    >>> StorePosition(2, 25) > StorePosition(1, 47)
+    True
+    """
+
+    era: int
+    revision: int
+
+
 class WeightedService(ValueObject):
     """A service that receives a share of the flows of a route.
 
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -10,6 +10,7 @@
 from magnoliaslip.core.errors import PlatformError
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.registry.directory import Directory
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.registry.store_client import (
     ChangeBatch,
     HistoryLostError,
@@ -129,10 +130,11 @@
         self.calls += 1
         batch = await self._store_client.list()
         _log_unreadable(batch)
+        former = self._directory.position
         if not self._directory.replace(batch):
             raise StoreBusyError(
-                f"the store listed revision {batch.revision}, older than "
-                f"revision {self._directory.revision} of the directory"
+                f"the store listed {_position_text(batch.position)}, older than "
+                f"{_position_text(former)} of the directory"
             )
         self._on_change()
         return True
@@ -167,7 +169,13 @@
         if self._store_down:
             self._store_down = False
             self.state_since = time()
-            log_event(logger, Event.PLATFORM_UP, revision=self._directory.revision)
+            directory = self._directory
+            log_event(
+                logger,
+                Event.PLATFORM_UP,
+                era=directory.era,
+                revision=directory.revision,
+            )
 
     async def _back_off(self, exc: PlatformError) -> None:
         if not self._store_down:
@@ -179,6 +187,10 @@
         self._backoff = min(MAX_BACKOFF_S, self._backoff * 2)
 
 
+def _position_text(position: StorePosition) -> str:
+    return f"revision {position.revision} of era {position.era}"
+
+
 def _log_unreadable(batch: ChangeBatch) -> None:
     for change in batch.changes:
         if isinstance(change, UnreadableEntry):
--- a/src/magnoliaslip/registry/snapshot.py
+++ b/src/magnoliaslip/registry/snapshot.py
@@ -12,6 +12,7 @@
     RouteTable,
     ServiceLimits,
     ServiceRoute,
+    StorePosition,
     WeightedService,
 )
 from magnoliaslip.registry.store_client import (
@@ -63,6 +64,7 @@
     zones_in: list[str]
     servers: list[_Server]
     removed: list[str]
+    era: int = 0
 
 
 _ENCODER = Encoder()
@@ -84,15 +86,17 @@
         self.complete = complete
 
 
-def encode_snapshot(directory: Directory, *, after: int = 0) -> bytes:
+def encode_snapshot(
+    directory: Directory, *, after: StorePosition | None = None
+) -> bytes:
     """Encode a directory as JSON.
 
     Args:
         directory: The directory.
-        after: Revision that the receiver has, 0 for none; only later changes are
-            encoded if the history still covers them.
+        after: Position that the receiver has, if any; only later changes are encoded
+            if the history still covers them.
     """
-    batch = directory.changes_since(after) if after else None
+    batch = directory.changes_since(after) if after and after.revision else None
     if batch is not None:
         return _ENCODER.encode(_encode_batch(batch))
     table = directory.table
@@ -104,6 +108,7 @@
         [],
         [_encode_server(server) for server in directory.servers.values()],
         [],
+        directory.era,
     )
     return _ENCODER.encode(document)
 
@@ -128,12 +133,13 @@
     ]
     changes += [ServerChange(identifier, None) for identifier in document.removed]
     return DirectorySnapshot(
-        ChangeBatch(document.revision, tuple(changes)), complete=document.complete
+        ChangeBatch(document.revision, tuple(changes), era=document.era),
+        complete=document.complete,
     )
 
 
 def _encode_batch(batch: ChangeBatch) -> _Document:
-    document = _Document(batch.revision, False, None, [], [], [], [])
+    document = _Document(batch.revision, False, None, [], [], [], [], batch.era)
     table: _Table | None = None
     for change in batch.changes:
         if isinstance(change, RoutesChange):
--- a/src/magnoliaslip/registry/store_client.py
+++ b/src/magnoliaslip/registry/store_client.py
@@ -1,10 +1,11 @@
 """Read-only access to the store of routes, servers and zones out of service."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Iterable
 
 from magnoliaslip.core.errors import PlatformError
 from magnoliaslip.core.value_object import ValueObject
-from magnoliaslip.registry.model import RegisteredServer, RouteTable
+from magnoliaslip.registry.model import RegisteredServer, RouteTable, StorePosition
 
 
 class HistoryLostError(PlatformError):
@@ -16,7 +17,7 @@
 class StoreBusyError(PlatformError):
     """The store rejected a read for now; its content is valid.
 
-    Also raised when the store lists a revision older than that of the directory.
+    Also raised when the store lists a position older than that of the directory.
     """
 
     code = "MS302"
@@ -92,13 +93,47 @@
     Attributes:
         revision: The store's revision after the last change.
         changes: The changes, oldest first.
+        era: The store's era, see `StorePosition`.
     """
 
-    __slots__ = ("changes", "revision")
+    __slots__ = ("changes", "era", "revision")
 
-    def __init__(self, revision: int, changes: tuple[Change, ...]) -> None:
+    def __init__(
+        self, revision: int, changes: tuple[Change, ...], *, era: int = 0
+    ) -> None:
         self.revision = revision
         self.changes = changes
+        self.era = era
+
+    @property
+    def position(self) -> StorePosition:
+        """Era and revision after the last change."""
+        return StorePosition(self.era, self.revision)
+
+
+class ListedPages:
+    """Pages of a list of the store, which are not a consistent snapshot.
+
+    The list has the position of the first page; the next watch returns the changes
+    since then.
+    """
+
+    __slots__ = ("_changes", "_position")
+
+    def __init__(self) -> None:
+        self._changes: list[Change] = []
+        self._position: StorePosition | None = None
+
+    def add(self, changes: Iterable[Change], position: StorePosition) -> None:
+        """Add the changes of the next page and its position."""
+        if self._position is None:
+            self._position = position
+        self._changes += changes
+
+    def batch(self) -> ChangeBatch:
+        """Return the changes of all pages."""
+        era, revision = self._position or StorePosition(0, 0)
+        return ChangeBatch(revision, tuple(self._changes), era=era)
 
 
 class StoreClient(ABC):
--- a/src/magnoliaslip/runtime/metrics_page.py
+++ b/src/magnoliaslip/runtime/metrics_page.py
@@ -23,6 +23,7 @@
     "digests_rejected": "Datagrams of other instances that can't be read.",
 }
 GAUGES = {
+    "directory_era": "Era of the store that the directory has.",
     "directory_revision": "Revision of the store that the directory has.",
     "routes_version": "Version of the routes in force.",
     "servers": "Registered backend servers.",
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -26,6 +26,7 @@
 from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.gossip.exchange import GossipExchange
 from magnoliaslip.gossip.snapshot_fetcher import SNAPSHOT_PATH, SnapshotFetcher
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.registry.reader import RegistryReader
 from magnoliaslip.registry.snapshot import encode_snapshot
 from magnoliaslip.registry.store_client import StoreClient
@@ -154,7 +155,7 @@
                 clock=self._clock,
                 rng=self._rng,
                 reads_store=lambda: self._reader.reads_store,
-                on_newer_revision=snapshot_fetcher.on_newer_revision,
+                on_newer_directory=snapshot_fetcher.on_newer_directory,
                 on_directory_change=self._on_directory_change,
             )
             self._forwarder.router.on_evidence = self._gossip.announce
@@ -228,6 +229,7 @@
         log_event(
             logger,
             Event.DIRECTORY_CHANGED,
+            era=directory.era,
             revision=directory.revision,
             routes_version=directory.table.version if directory.table else None,
             servers=len(directory.servers),
@@ -252,7 +254,9 @@
             return HttpResponse(404)
         if not self._forwarder.directory.ready:
             return HttpResponse(503)
-        after = int(req.query.get("after", "0"))
+        after = StorePosition(
+            int(req.query.get("era", "0")), int(req.query.get("after", "0"))
+        )
         data = encode_snapshot(self._forwarder.directory, after=after)
         return HttpResponse(200, data)
 
@@ -266,6 +270,7 @@
             id=self._cfg.id,
             zone=self._cfg.zone,
             ready=self._ready,
+            era=directory.era,
             revision=directory.revision,
             changed_at=self._directory_changed_at,
             routes_version=directory.table.version if directory.table else 0,
@@ -317,6 +322,7 @@
                 "unread": self._log_handler.dropped,
             },
             "digests_rejected": self._gossip.rejected,
+            "directory_era": directory.era,
             "directory_revision": directory.revision,
             "routes_version": directory.table.version if directory.table else 0,
             "servers": len(directory.servers),
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -102,7 +102,7 @@
         # The event loop retries the read and requests snapshots from other instances.
         forwarder.router.log.record("PLATFORM_DOWN", error=str(exc), first_read=True)
         return
-    forwarder.directory.apply(batch)
+    forwarder.directory.replace(batch)
     forwarder.apply_directory()
 
 
--- a/src/magnoliaslip/runtime/status.py
+++ b/src/magnoliaslip/runtime/status.py
@@ -55,7 +55,8 @@
         zone: Its availability zone.
         ready: Whether its readiness polls succeed: it has routes and servers and is
             not stopping.
-        revision: Store revision of its directory.
+        era: Era of the store that its directory has.
+        revision: Revision of the store that its directory has.
         changed_at: Unix time in seconds of the last change of the directory.
         routes_version: Version of the routes in force; 0 for none.
         zones_out: Zones out of service.
@@ -70,6 +71,7 @@
     id: str
     zone: str
     ready: bool
+    era: int
     revision: int
     changed_at: float
     routes_version: int
@@ -87,7 +89,8 @@
 
     Attributes:
         id: Identifier of the instance.
-        revision: Revision of its directory.
+        era: Era of the store that its directory has.
+        revision: Revision of the store that its directory has.
         routes_version: Version of the routes in force; 0 for none.
         service: Service of a new flow; empty without a route.
         server: Server of a new flow; empty for none.
@@ -99,6 +102,7 @@
     """
 
     id: str
+    era: int
     revision: int
     routes_version: int
     service: str = ""
--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -75,6 +75,7 @@
         table = self._directory.table
         explanation = FlowExplanation(
             id=instance,
+            era=self._directory.era,
             revision=self._directory.revision,
             routes_version=table.version if table else 0,
             steps=[],
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -259,6 +259,7 @@
             cold=tracked.cold_until > now,
             copy=packet.retransmission,
             tried=[other.server.id for other in tried],
+            era=self._directory.era,
             revision=self._directory.revision,
         )
         entry.tag = flow_tag(tracked.key, packet.endpoint)
@@ -471,6 +472,7 @@
             event,
             packet.flow,
             reason=reason,
+            era=self._directory.era,
             revision=self._directory.revision,
             **fields,
         )
--- a/tests/gossip/fleet.py
+++ b/tests/gossip/fleet.py
@@ -69,7 +69,7 @@
             clock=clock,
             rng=Random(host),
             reads_store=lambda: self.reads_store,
-            on_newer_revision=lambda host, revision: self.newer_hosts.append(host),
+            on_newer_directory=lambda host, position: self.newer_hosts.append(host),
             on_directory_change=self.on_directory_change,
         )
         self.members = self.exchange.members
@@ -144,7 +144,7 @@
         """Start a process at a host, also after an earlier one there ended."""
         node = Node(host, zone, self.clock, seeds=self.seeds, servers=self.servers)
         # The store has the latest revision.
-        latest = max(self.nodes.values(), key=lambda n: n.directory.revision, default=0)
+        latest = max(self.nodes.values(), key=lambda n: n.directory.position, default=0)
         if latest:
             self._fetch(node, latest)
         self.nodes[host] = node
@@ -214,7 +214,7 @@
                 source.zone == node.zone or not {source.zone, node.zone} & self.cut
             )
             if (
-                source.directory.revision > node.directory.revision
+                source.directory.position > node.directory.position
                 and source.host not in self.off
                 and reachable
             ):
--- a/tests/gossip/test_late_instance.py
+++ b/tests/gossip/test_late_instance.py
@@ -36,7 +36,7 @@
             clock=self.clock,
             rng=Random(1),
             reads_store=lambda: True,
-            on_newer_revision=lambda host, revision: None,
+            on_newer_directory=lambda host, position: None,
             on_directory_change=lambda: None,
         )
         self.harness.router.before_judgement = self.exchange.update_evidence
--- a/tests/ops/test_steering.py
+++ b/tests/ops/test_steering.py
@@ -27,6 +27,7 @@
     id="i1",
     zone="a",
     ready=True,
+    era=2,
     revision=7,
     changed_at=1781829600.0,
     routes_version=3,
@@ -64,7 +65,12 @@
 
 def test_explanation_lists_all_steps():
     answer = FlowExplanation(
-        id="i1", revision=7, routes_version=3, steps=["a", "b"], servers=[SUSPECT]
+        id="i1",
+        era=2,
+        revision=7,
+        routes_version=3,
+        steps=["a", "b"],
+        servers=[SUSPECT],
     )
     text = format_explanation(answer)
     assert "1. a" in text and "2. b" in text and "i-5c" in text
--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -15,6 +15,7 @@
         self.items = {}
         self.events = []
         self.revision = 1
+        self.era = 1
         self.up = True
         self.status = 200
         self.calls = []
@@ -30,6 +31,16 @@
         del self.items[key]
         self.events.append({"key": key, "revision": self.revision, "removed": True})
 
+    def copy(self):
+        """Return what `restore` needs to bring back the present state."""
+        return dict(self.items), self.revision
+
+    def restore(self, copy):
+        """Lose all changes since a copy; their revisions are given out again."""
+        self.items, self.revision = dict(copy[0]), copy[1]
+        self.events = [each for each in self.events if each["revision"] <= copy[1]]
+        self.era += 1
+
     def put_server(self, name, address, **fields):
         entry = {
             "service": "desk",
@@ -55,6 +66,11 @@
         self.put("op/config", {"version": version, "routes": routes})
 
     async def answer(self, req):
+        response = await self._answer(req)
+        era = ("Store-Era", str(self.era))
+        return HttpResponse(response.status, response.body, (*response.headers, era))
+
+    async def _answer(self, req):
         self.calls.append(req.path)
         if not self.up:
             raise DropConnection
@@ -75,10 +91,13 @@
         return await self._watch(int(req.query["after"]), int(req.query["wait_ms"]))
 
     async def _watch(self, after, wait_ms):
+        if after > self.revision:
+            return HttpResponse(410)
+        era = self.era
         with anyio.move_on_after(wait_ms / 1000):
-            while self.up and self.revision <= after:
+            while self.up and self.era == era and self.revision <= after:
                 await anyio.sleep(0.01)
-        if not self.up:
+        if not self.up or self.era != era:
             raise DropConnection
         events = [event for event in self.events if event["revision"] > after]
         return HttpResponse.json({"events": events, "as_of": self.revision})
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -10,6 +10,7 @@
 from magnoliaslip.core.errors import PlatformError
 from magnoliaslip.core.http_server import HttpResponse, serve_http
 from magnoliaslip.lab.ports import PortPicker
+from magnoliaslip.registry.model import StorePosition
 from magnoliaslip.registry.store_client import (
     HistoryLostError,
     RoutesChange,
@@ -90,6 +91,40 @@
     assert run(call_store, fake_store.answer).changes == ()
 
 
+def test_list_and_watch_have_the_era_of_the_store():
+    fake_store = FakeStore()
+    fake_store.era = 7
+
+    async def call_store(store_client):
+        listed = await store_client.list()
+        watched = await store_client.watch(after=fake_store.revision, wait_s=0.05)
+        return listed.era, watched.era
+
+    assert run(call_store, fake_store.answer) == (7, 7)
+
+
+def test_store_without_eras_is_in_era_0():
+    async def answer(req):
+        return HttpResponse(200, b'{"items": [], "as_of": 3}')
+
+    async def call_store(store_client):
+        return await store_client.list()
+
+    assert run(call_store, answer).position == StorePosition(0, 3)
+
+
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5"])
+def test_era_that_is_no_number_is_a_platform_error(era):
+    async def answer(req):
+        return HttpResponse(200, b'{"items": [], "as_of": 3}', (("Store-Era", era),))
+
+    async def call_store(store_client):
+        with pytest.raises(PlatformError, match="era"):
+            await store_client.list()
+
+    run(call_store, answer)
+
+
 @pytest.mark.parametrize(
     ("status", "error"),
     [
--- a/tests/registry/test_directory.py
+++ b/tests/registry/test_directory.py
@@ -37,7 +37,7 @@
 
     Returns whether the complete directory was transferred.
     """
-    snapshot = decode_snapshot(encode_snapshot(source, after=target.revision))
+    snapshot = decode_snapshot(encode_snapshot(source, after=target.position))
     apply_changes = target.replace if snapshot.complete else target.apply
     assert apply_changes(snapshot.batch)
     return snapshot.complete
