Keep servers that drained from new flows when an older copy has them as ready

Change: an incarnation of a server that was registered as draining stays so; servers never return from it under the same start time. Result: test_server_that_drained_before_the_store_was_restored_gets_no_new_flows failed before in both cases; a restart under the same identifier gets flows as before.

--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -145,7 +145,7 @@
         )
         if not tracked.registered:
             status.state, status.since = "left", self._unix_time(tracked.removed_at)
-        elif server.draining:
+        elif tracked.draining:
             status.state = "draining"
         elif server.zone in self._directory.zones_out:
             status.state = "out"
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -57,6 +57,8 @@
 
     Attributes:
         server: Its registration.
+        draining: Whether it was ever registered as draining; an older copy of its
+            registration does not make it available again.
         tag: Tag that digests name it by.
         key: Key from which the tags of its flows are computed.
         registered: Whether the registration is still published.
@@ -76,6 +78,7 @@
     __slots__ = (
         "_active",
         "cold_until",
+        "draining",
         "group",
         "key",
         "peer_requests_per_s",
@@ -100,6 +103,7 @@
         active: "set[TrackedServer] | None" = None,
     ) -> None:
         self.server = server
+        self.draining = server.draining
         self.group = group or ServerGroup(server.service, server.zone)
         self._active = set() if active is None else active
         self.tag = server_tag(server)
@@ -383,7 +387,7 @@
             else:
                 continue
             if (
-                not server.draining
+                not tracked.draining
                 and server.zone not in directory.zones_out
                 and self._by_tag.get(tracked.tag) is tracked
             ):
@@ -415,6 +419,7 @@
             self._by_tag.setdefault(tracked.tag, tracked)
         else:
             tracked.server = server
+            tracked.draining |= server.draining
             tracked.group = group
             tracked.cold_until = cold_until
         tracked.registered = True
--- a/tests/steering/harness.py
+++ b/tests/steering/harness.py
@@ -96,7 +96,14 @@
         self.publish(*(ServerChange(s.id, s) for s in servers))
 
     def publish(self, *changes):
-        self.directory.apply(ChangeBatch(self.directory.revision + 1, changes))
+        directory = self.directory
+        batch = ChangeBatch(directory.revision + 1, changes, era=directory.era)
+        directory.apply(batch)
+        self.router.apply_directory(self.now)
+
+    def restore(self, *changes):
+        """Apply the list of a store that was restored from an older copy."""
+        self.directory.replace(ChangeBatch(1, changes, era=self.directory.era + 1))
         self.router.apply_directory(self.now)
 
     def handle(self, **fields):
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -1,5 +1,7 @@
 """Guards against flows that switch servers or reach another service."""
 
+import pytest
+
 from magnoliaslip.registry.store_client import RoutesChange, ServerChange, ZoneChange
 from magnoliaslip.steering.packet import PacketFlags
 from magnoliaslip.steering.servers import ServerSet
@@ -61,6 +63,25 @@
     assert harness.handle(flow=b"old", tag=tag) == ["i-1"]
 
 
+@pytest.mark.parametrize("left", [False, True])
+def test_server_that_drained_before_the_store_was_restored_gets_no_new_flows(left):
+    # The older copy has the registration from before it drained.
+    ready, other = server("i-1"), server("i-2")
+    harness = Harness(ready, other)
+    harness.publish(ServerChange("i-1", server("i-1", draining=True)))
+    if left:
+        harness.publish(ServerChange("i-1", None))
+    harness.restore(ServerChange("i-1", ready), ServerChange("i-2", other))
+    assert {harness.open(flow=bytes([n])) for n in range(20)} == {"i-2"}
+
+
+def test_restart_under_the_identifier_of_a_drained_server_gets_new_flows():
+    harness = Harness(server("i-1"))
+    harness.publish(ServerChange("i-1", server("i-1", draining=True)))
+    harness.publish(ServerChange("i-1", server("i-1", started_ms=2)))
+    assert harness.open() == "i-1"
+
+
 def test_removed_server_keeps_its_flows_for_the_retention_time():
     harness = Harness(server("i-1"), server("i-2"))
     tag = harness.tag("i-1")
