Keep zones out of service until the operator has had time to write them again

Change: zones that were out of service before an era stay out for 2 s into it, the time in which what is missing is written again. Result: test_zone_that_was_out_before_the_store_was_restored_stays_out_for_a_while failed before; a zone that is written again stays out.

--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -147,7 +147,7 @@
             status.state, status.since = "left", self._unix_time(tracked.removed_at)
         elif tracked.draining:
             status.state = "draining"
-        elif server.zone in self._directory.zones_out:
+        elif server.zone in self._router.servers.zones_out:
             status.state = "out"
         elif not tracked.admits(now):
             status.state = "suspect"
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -19,8 +19,9 @@
 # Suspicions reported by other instances are about this old, in seconds; an answer that
 # this instance observed within this time outweighs them.
 PEER_REPORT_AGE_S = 0.5
-# Registrations that lapse during an outage of the store are renewed within this time in
-# seconds (platform); after it the server counts as gone.
+# Registrations that lapse during an outage of the store, and whatever is missing after
+# it was restored from an older copy, are written again within this time in seconds
+# (platform); after it a server counts as gone and a zone as back in service.
 REGISTRATION_GRACE_S = 2.0
 # A server to which fewer requests per second are forwarded is not active, unless there
 # is evidence on it to report.
@@ -239,6 +240,11 @@
 
     Args:
         retention_s: Seconds for which a removed server is kept.
+
+    Attributes:
+        zones_out: Availability zones whose servers get no new flows: those out of
+            service, and for `REGISTRATION_GRACE_S` those that were out before the
+            store was restored from an older copy.
     """
 
     __slots__ = (
@@ -246,6 +252,7 @@
         "_by_incarnation",
         "_by_tag",
         "_candidates",
+        "_era",
         "_generation",
         "_groups",
         "_has_lapsing",
@@ -253,6 +260,8 @@
         "_removed",
         "_retention_s",
         "_zone_reachability",
+        "_zones_out_until",
+        "zones_out",
     )
 
     def __init__(self, *, retention_s: float) -> None:
@@ -267,8 +276,14 @@
         # What was applied last: the registrations by identifier, and the generation.
         self._registered: dict[str, RegisteredServer] = {}
         self._generation = -1
+        self._era = 0
+        self.zones_out: set[str] = set()
+        # Zones that were out of service before the store was restored, but not
+        # after it, and the monotonic times in seconds until which they still are.
+        self._zones_out_until: dict[str, float] = {}
         self._removed: dict[Incarnation, TrackedServer] = {}
-        # Whether the candidates include removed servers.
+        # Whether the candidates depend on the time: they include removed servers, or
+        # lack zones that are out of service for a limited time.
         self._has_lapsing = False
 
     def apply(self, directory: Directory, now: float) -> bool:
@@ -287,7 +302,8 @@
             self._generation = directory.generation
             has_changed |= self._apply_registrations(directory, now)
         if is_new_generation or self._has_lapsing:
-            self._update_candidates(directory, now)
+            self._apply_zones(directory, now)
+            self._update_candidates(now)
         return has_changed
 
     def find(self, tag: int) -> TrackedServer | None:
@@ -373,9 +389,20 @@
             self._register(server, now)
         return len(self._by_incarnation) != count
 
-    def _update_candidates(self, directory: Directory, now: float) -> None:
+    def _apply_zones(self, directory: Directory, now: float) -> None:
+        """Record which zones are out of service, or still are in a new era."""
+        if directory.era != self._era:
+            self._era = directory.era
+            for zone in self.zones_out - directory.zones_out:
+                self._zones_out_until[zone] = now + REGISTRATION_GRACE_S
+        for zone, until in list(self._zones_out_until.items()):
+            if now >= until:
+                del self._zones_out_until[zone]
+        self.zones_out = directory.zones_out | self._zones_out_until.keys()
+
+    def _update_candidates(self, now: float) -> None:
         self._candidates = {}
-        self._has_lapsing = False
+        self._has_lapsing = bool(self._zones_out_until)
         for group in self._groups.values():
             group.registered = 0
         for tracked in self._by_incarnation.values():
@@ -388,7 +415,7 @@
                 continue
             if (
                 not tracked.draining
-                and server.zone not in directory.zones_out
+                and server.zone not in self.zones_out
                 and self._by_tag.get(tracked.tag) is tracked
             ):
                 for zone in ("", server.zone):
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -4,7 +4,7 @@
 
 from magnoliaslip.registry.store_client import RoutesChange, ServerChange, ZoneChange
 from magnoliaslip.steering.packet import PacketFlags
-from magnoliaslip.steering.servers import ServerSet
+from magnoliaslip.steering.servers import REGISTRATION_GRACE_S, ServerSet
 from magnoliaslip.steering.tags import server_tag
 from tests.steering.harness import (
     DESK_ENDPOINT,
@@ -127,6 +127,35 @@
     assert "i-1" in {harness.open(flow=bytes([99, n])) for n in range(20)}
 
 
+def test_zone_that_was_out_before_the_store_was_restored_stays_out_for_a_while():
+    # The older copy lacks it until it is written again.
+    servers = [server("i-1", zone="b"), server("i-2", zone="c")]
+    listed = [ServerChange(each.id, each) for each in servers]
+    harness = Harness(*servers)
+    harness.publish(ZoneChange("b", out=True), ZoneChange("c", out=True))
+    harness.publish(ZoneChange("c", out=False))
+    harness.restore(*listed)
+    assert {harness.open(flow=bytes([n])) for n in range(20)} == {"i-2"}
+    harness.now += 1.0
+    harness.publish(ZoneChange("c", out=True))
+    assert harness.open(flow=b"none left") is None
+    harness.publish(ZoneChange("c", out=False))
+    harness.now += REGISTRATION_GRACE_S
+    harness.router.on_tick(harness.now)
+    assert {harness.open(flow=bytes([n, 1])) for n in range(20)} == {"i-1", "i-2"}
+
+
+def test_zone_that_is_written_again_stays_out():
+    servers = [server("i-1", zone="b"), server("i-2", zone="c")]
+    harness = Harness(*servers)
+    harness.publish(ZoneChange("b", out=True))
+    harness.restore(*(ServerChange(each.id, each) for each in servers))
+    harness.publish(ZoneChange("b", out=True))
+    harness.now += REGISTRATION_GRACE_S
+    harness.router.on_tick(harness.now)
+    assert {harness.open(flow=bytes([n])) for n in range(20)} == {"i-2"}
+
+
 def test_retransmitted_syn_tries_another_server():
     harness = Harness(server("i-1"), server("i-2"))
     first = harness.open()
