Discard the answer to a watch that was sent in another era of the store

Cause, shown by the review end to end: a watch waits after a revision of the former era. If another instance passes on the new era meanwhile, at a lower revision, the answer was applied on top of it, and the changes between the two revisions were missed for good, at the same position as the store. Change: the reader compares the era at which it sent the watch; if the directory has moved on, it watches again from where the directory is. Result: test_answer_to_a_watch_from_before_a_new_era_is_not_applied failed before.

--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -165,13 +165,13 @@
 
     async def _watch(self) -> None:
         self.calls += 1
-        batch = await self._store_client.watch(
-            after=self._directory.revision, wait_s=WATCH_TIMEOUT_S
-        )
-        if batch.era > self._directory.era:
+        era, revision = self._directory.position
+        batch = await self._store_client.watch(after=revision, wait_s=WATCH_TIMEOUT_S)
+        if self._directory.era != era:
+            return  # another instance was faster; the changes follow another state
+        if batch.era > era:
             raise HistoryLostError(
-                f"the store is in era {batch.era}, "
-                f"the directory in era {self._directory.era}"
+                f"the store is in era {batch.era}, the directory in era {era}"
             )
         _log_unreadable(batch)
         if self._directory.apply(batch) and batch.changes:
--- a/src/magnoliaslip/registry/store_client.py
+++ b/src/magnoliaslip/registry/store_client.py
@@ -181,6 +181,9 @@
     async def watch(self, *, after: int, wait_s: float) -> ChangeBatch:
         """Return the changes after a revision, or no changes when the wait ends first.
 
+        The changes are those since the revision in the era of the result. If that is
+        not the era from which the caller has the revision, they don't follow it.
+
         Args:
             after: Revision that the caller has.
             wait_s: Seconds to wait for a change.
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -133,6 +133,36 @@
     assert set(directory.servers) == {"i-2", "i-3"}
 
 
+def test_answer_to_a_watch_from_before_a_new_era_is_not_applied():
+    # Guards against changes that are missed for good: the answer has those after the
+    # revision of the former era, while another instance has passed on a lower one.
+    store_client, directory = ScriptedStoreClient(), Directory()
+    directory.replace(ChangeBatch(47, (add("i-1"),), era=1))
+    calls = []
+
+    async def watch(*, after, wait_s):
+        calls.append(after)
+        if len(calls) == 1:
+            directory.replace(ChangeBatch(44, (add("i-1"),), era=2))
+            return ChangeBatch(48, (add("i-3"),), era=2)
+        if len(calls) == 2:
+            changes = (ServerChange("i-1", None), add("i-2"), add("i-3"))
+            return ChangeBatch(48, changes, era=2)
+        await anyio.sleep_forever()
+
+    async def main():
+        store_client.watch = watch
+        reader = RegistryReader(
+            store_client, directory, on_change=lambda: None, rng=Random(1)
+        )
+        with anyio.move_on_after(1.0):
+            await reader.run()
+
+    anyio.run(main)
+    assert calls == [47, 44, 48]
+    assert set(directory.servers) == {"i-2", "i-3"}
+
+
 def test_restored_store_is_reported_with_what_the_instance_had(caplog):
     caplog.set_level("INFO")
     read(
