Treat answers of an earlier era as a failure of the store

Cause, shown by the review in a model: if the store answers in an era before the one that an instance knows, its watches were ignored without a log line and sent again at once, 837 in one second. Change: such an answer counts as a failed read: it is logged, and the next one waits. Result: test_answers_of_an_earlier_era_are_a_failure_of_the_store did not end before, as the reader never paused. An instance keeps what it knows of the later era until the store has reached it.

--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -173,6 +173,11 @@
             raise HistoryLostError(
                 f"the store is in era {batch.era}, the directory in era {era}"
             )
+        if batch.era < era:
+            raise StoreBusyError(
+                f"the store answered in era {batch.era}, "
+                f"older than era {era} of the directory"
+            )
         _log_unreadable(batch)
         if self._directory.apply(batch) and batch.changes:
             self._on_change()
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -184,6 +184,31 @@
     assert set(directory.servers) == {"i-3"}
 
 
+def test_answers_of_an_earlier_era_are_a_failure_of_the_store():
+    # Guards against watches in a row without a pause, and without a log line.
+    store_client, directory = ScriptedStoreClient(), Directory()
+    directory.replace(ChangeBatch(20, (add("i-1"),), era=9))
+    calls = []
+
+    async def watch(*, after, wait_s):
+        calls.append(after)
+        return ChangeBatch(40, (add("i-2"),), era=2)
+
+    async def main():
+        store_client.watch = watch
+        reader = RegistryReader(
+            store_client, directory, on_change=lambda: None, rng=Random(1)
+        )
+        with anyio.move_on_after(1.0):
+            await reader.run()
+        return reader
+
+    reader = anyio.run(main)
+    assert len(calls) < 12
+    assert not reader.store_available
+    assert set(directory.servers) == {"i-1"}
+
+
 def test_changes_in_a_burst_are_read_together():
     # Guards against one call to the store per server when many are replaced together.
     store_client, directory = ScriptedStoreClient(), Directory()
