Let a server that does not state its start return after it drained

Cause, shown by the review: a registration without a start time has start 0, so a restart under the same identifier counted as the incarnation that had drained, and got no flows for 60 s, or for good if its entry was never removed. Came with the rule that drained servers stay drained. Change: the rule applies only to registrations that state when the server started. Result: the second case of test_restart_under_the_identifier_of_a_drained_server_gets_new_flows failed before.

--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -59,7 +59,8 @@
     Attributes:
         server: Its registration.
         draining: Whether it was ever registered as draining; an older copy of its
-            registration does not make it available again.
+            registration does not make it available again, unless registrations don't
+            state when it started.
         tag: Tag that digests name it by.
         key: Key from which the tags of its flows are computed.
         registered: Whether the registration is still published.
@@ -446,7 +447,10 @@
             self._by_tag.setdefault(tracked.tag, tracked)
         else:
             tracked.server = server
-            tracked.draining |= server.draining
+            if server.started_ms:
+                tracked.draining |= server.draining
+            else:
+                tracked.draining = server.draining
             tracked.group = group
             tracked.cold_until = cold_until
         tracked.registered = True
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -75,10 +75,15 @@
     assert {harness.open(flow=bytes([n])) for n in range(20)} == {"i-2"}
 
 
-def test_restart_under_the_identifier_of_a_drained_server_gets_new_flows():
-    harness = Harness(server("i-1"))
-    harness.publish(ServerChange("i-1", server("i-1", draining=True)))
-    harness.publish(ServerChange("i-1", server("i-1", started_ms=2)))
+@pytest.mark.parametrize("starts_ms", [(1, 2), (0, 0)])
+def test_restart_under_the_identifier_of_a_drained_server_gets_new_flows(starts_ms):
+    # A server that does not state its start can't be told from its predecessor.
+    first, second = starts_ms
+    harness = Harness(server("i-1", started_ms=first))
+    drained = server("i-1", started_ms=first, draining=True)
+    harness.publish(ServerChange("i-1", drained))
+    harness.publish(ServerChange("i-1", None))
+    harness.publish(ServerChange("i-1", server("i-1", started_ms=second)))
     assert harness.open() == "i-1"
 
 
