Compare instances that state no era by their revision

Cause, shown by the review: during an upgrade, digests of the version before have no era, which counted as era 0 and thus as older than any. If both instances of a zone that watch the store were old ones, new ones did not learn of changes for up to a minute.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -239,6 +239,9 @@
             self.rejected += 1
             log_event(logger, Event.PEER_REJECTED, source=source, reason=exc.message)
             return
+        if not digest.era:
+            # An earlier version of this program, which can only be compared by revision.
+            digest = replace(digest, era=self._directory.era)
         now = self._clock.monotonic()
         member = self.members.record_digest(source.host, digest, now)
         self._loads.record_digest(source.host, digest, now)
--- a/src/magnoliaslip/gossip/recent_changes.py
+++ b/src/magnoliaslip/gossip/recent_changes.py
@@ -73,7 +73,7 @@
         ):
             return False
         try:
-            snapshot = decode_snapshot(digest.changes)
+            snapshot = decode_snapshot(digest.changes, default_era=digest.era)
         except PeerError:
             return False  # the sender's snapshot is fetched, which logs what is wrong
         if snapshot.complete or snapshot.batch.position != digest.position:
--- a/src/magnoliaslip/gossip/snapshot_fetcher.py
+++ b/src/magnoliaslip/gossip/snapshot_fetcher.py
@@ -105,7 +105,7 @@
                 raise PeerError(
                     f"snapshot request returned status {response.status} instead of 200"
                 )
-            snapshot = decode_snapshot(bytes(response.body))
+            snapshot = decode_snapshot(bytes(response.body), default_era=era)
         except (OSError, TimeoutError, HttpProtocolError, PeerError) as exc:
             log_event(logger, Event.SNAPSHOT_FAILED, member=address.host, reason=exc)
             return
--- a/src/magnoliaslip/registry/snapshot.py
+++ b/src/magnoliaslip/registry/snapshot.py
@@ -113,9 +113,13 @@
     return _ENCODER.encode(document)
 
 
-def decode_snapshot(data: bytes) -> DirectorySnapshot:
+def decode_snapshot(data: bytes, *, default_era: int = 0) -> DirectorySnapshot:
     """Decode a directory or changes to it.
 
+    Args:
+        data: The document.
+        default_era: Era of a document of an earlier version, which states none.
+
     Raises:
         PeerError: The document is not a valid snapshot.
     """
@@ -133,7 +137,7 @@
     ]
     changes += [ServerChange(identifier, None) for identifier in document.removed]
     return DirectorySnapshot(
-        ChangeBatch(document.revision, tuple(changes), era=document.era),
+        ChangeBatch(document.revision, tuple(changes), era=document.era or default_era),
         complete=document.complete,
     )
 
--- a/tests/gossip/test_snapshot_fetcher.py
+++ b/tests/gossip/test_snapshot_fetcher.py
@@ -22,8 +22,11 @@
     return each
 
 
-def fetch(own, other):
-    """Let one directory fetch another; return the queries for it."""
+def fetch(own, other, *, position=None):
+    """Let one directory fetch another; return the queries for it.
+
+    By default, the position that was announced is that of the other one.
+    """
     address = PortPicker(Random()).pick()
     queries = []
 
@@ -44,7 +47,7 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(serve_http, address, answer)
             tasks.start_soon(fetcher.run)
-            fetcher.on_newer_directory(address.host, other.position)
+            fetcher.on_newer_directory(address.host, position or other.position)
             with anyio.move_on_after(2.0):
                 await changed.wait()
             tasks.cancel_scope.cancel()
@@ -70,6 +73,14 @@
     assert set(own.servers) == {"i-1", "i-2"}
 
 
+def test_directory_of_a_version_without_eras_is_compared_by_revision():
+    own = directory(47, 2, "i-1")
+    other = directory(48, 0, "i-2")
+    assert fetch(own, other, position=StorePosition(2, 48)) == [(2, 47)]
+    assert own.position == (2, 48)
+    assert set(own.servers) == {"i-2"}
+
+
 def test_higher_revision_of_an_earlier_era_is_not_fetched():
     own = directory(22, 2, "i-1")
     assert fetch(own, directory(47, 1, "i-2")) == []
