--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -240,7 +240,7 @@
             log_event(logger, Event.PEER_REJECTED, source=source, reason=exc.message)
             return
         if not digest.era:
-            # An earlier version of this program, which can only be compared by revision.
+            # An earlier version of this program; it is compared by its revision.
             digest = replace(digest, era=self._directory.era)
         now = self._clock.monotonic()
         member = self.members.record_digest(source.host, digest, now)
