--- a/src/magnoliaslip/gossip/snapshot_fetcher.py
+++ b/src/magnoliaslip/gossip/snapshot_fetcher.py
@@ -108,6 +108,8 @@
             snapshot = decode_snapshot(bytes(response.body), default_era=era)
         except (OSError, TimeoutError, HttpProtocolError, PeerError) as exc:
             log_event(logger, Event.SNAPSHOT_FAILED, member=address.host, reason=exc)
+            # The next digest of any newer instance names another one.
+            self._host_position = StorePosition(0, 0)
             return
         directory = self._directory
         apply_changes = directory.replace if snapshot.complete else directory.apply
--- a/tests/gossip/test_snapshot_fetcher.py
+++ b/tests/gossip/test_snapshot_fetcher.py
@@ -22,10 +22,11 @@
     return each
 
 
-def fetch(own, other, *, position=None):
+def fetch(own, other, *, position=None, before=None):
     """Let one directory fetch another; return the queries for it.
 
-    By default, the position that was announced is that of the other one.
+    By default, the position that was announced is that of the other one. Another host
+    and its position may be announced before.
     """
     address = PortPicker(Random()).pick()
     queries = []
@@ -47,6 +48,9 @@
         async with anyio.create_task_group() as tasks:
             await tasks.start(serve_http, address, answer)
             tasks.start_soon(fetcher.run)
+            if before is not None:
+                fetcher.on_newer_directory(*before)
+                await anyio.sleep(0.3)
             fetcher.on_newer_directory(address.host, position or other.position)
             with anyio.move_on_after(2.0):
                 await changed.wait()
@@ -81,6 +85,14 @@
     assert set(own.servers) == {"i-2"}
 
 
+def test_other_instance_is_asked_when_the_newest_one_does_not_answer(monkeypatch):
+    monkeypatch.setattr("magnoliaslip.gossip.snapshot_fetcher.READ_TIMEOUT_S", 0.1)
+    own, other = directory(5, 1, "i-1"), directory(7, 1, "i-2")
+    gone = ("127.0.0.99", StorePosition(1, 9))
+    assert fetch(own, other, before=gone) == [(1, 5)]
+    assert own.position == (1, 7)
+
+
 def test_higher_revision_of_an_earlier_era_is_not_fetched():
     own = directory(22, 2, "i-1")
     assert fetch(own, directory(47, 1, "i-2")) == []
