Show the zones that get no new flows, also those that wait after a restore

Cause, found by the review: status and log said that no zone was out of service while servers of a zone that was out before the store was restored were shown as out. Change: both show the zones that the placement leaves out.

--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -233,7 +233,7 @@
             revision=directory.revision,
             routes_version=directory.table.version if directory.table else None,
             servers=len(directory.servers),
-            zones_out=sorted(directory.zones_out),
+            zones_out=sorted(self._forwarder.router.servers.zones_out),
         )
 
     @property
@@ -274,7 +274,7 @@
             revision=directory.revision,
             changed_at=self._directory_changed_at,
             routes_version=directory.table.version if directory.table else 0,
-            zones_out=sorted(directory.zones_out),
+            zones_out=sorted(self._forwarder.router.servers.zones_out),
             store_answers=self._reader.store_available,
             store_since=self._reader.state_since,
             watches_store=self._watches_store(),
