Run the test of a whole lab site with the other tests of real processes

Cause: test_requests_are_served_while_an_instance_restarts starts 20 processes and has 10 s. Change: the page moves to tests/processes, which runs one test at a time, as the Makefile says of such tests. Checks and bounds are the same.

--- a/tests/lab/test_site.py
+++ b/tests/processes/test_site.py
@@ -12,7 +12,7 @@
 from magnoliaslip.lab.site import SiteOptions, open_site
 from magnoliaslip.lab.workload import WorkloadConfig
 
-FORWARDER = Path(__file__).with_name("udp_forwarder.py")
+FORWARDER = Path(__file__).parents[1] / "lab" / "udp_forwarder.py"
 TIME_LIMIT_S = 10.0
 WORKLOAD = WorkloadConfig(sessions_per_s=20, feed_s=(1, 2), think_s=(0.05, 0.1))
 
