--- a/src/magnoliaslip/placement/base_window.py
+++ b/src/magnoliaslip/placement/base_window.py
@@ -77,7 +77,7 @@
         """
         self._review_queue.extend(
             code
-            for code in self._exceptions.codes
+            for code in self._exceptions.buckets.codes
             if code >> BUCKET_CODE_SHIFT == service.index
         )
 
--- a/src/magnoliaslip/placement/direct_paths.py
+++ b/src/magnoliaslip/placement/direct_paths.py
@@ -34,7 +34,7 @@
         if (
             state.now() >= self.deadline
             or state.certificates.is_dirty(code)
-            or self._exceptions.is_dirty(code)
+            or self._exceptions.buckets.is_dirty(code)
         ):
             return None
         if state.former_services:
--- a/src/magnoliaslip/placement/exception_store.py
+++ b/src/magnoliaslip/placement/exception_store.py
@@ -1,4 +1,4 @@
-"""Exceptions that this instance holds as owner or replica, and its dirty buckets."""
+"""Exceptions that this instance holds as owner or replica."""
 
 from collections import OrderedDict
 from collections.abc import Iterable
@@ -6,6 +6,7 @@
 from typing import NamedTuple
 
 from magnoliaslip.placement.conflicting_placements import ConflictingPlacements
+from magnoliaslip.placement.dirty_buckets import DirtyBuckets
 from magnoliaslip.placement.half_open import Barrier
 from magnoliaslip.placement.hashing import flow_hash
 from magnoliaslip.placement.records import (
@@ -18,9 +19,6 @@
 from magnoliaslip.placement.service import BUCKET_CODE_SHIFT, Service, code_bucket
 from magnoliaslip.placement.state import PlacementState
 
-# A bucket is reported clean only this long after its last exception. Otherwise a
-# busy bucket would cause a log operation for every flow.
-CLEAN_DELAY_S = 10.0
 # Limit on exceptions whose server is not in the local configuration yet.
 MAX_UNRESOLVED = 4_096
 # A revocation is not sent again within this time.
@@ -42,65 +40,34 @@
 
 
 class ExceptionStore:
-    """Adds and removes exceptions, and advertises dirty buckets to all members.
+    """Adds and removes exceptions, here and at other members.
 
     An exception is a recorded flow that some member would send to another server by
-    default. A bucket with exceptions is dirty: other members do not forward its
-    packets directly to the default. Methods identify it by its code, see `Service`.
-
-    Replicas also advertise the buckets of the exceptions that they hold, so a bucket
-    stays dirty for direct forwarders when its owner fails.
+    default. A bucket with exceptions is dirty, see `DirtyBuckets`.
 
     Args:
         state: State of the router.
 
     Attributes:
+        buckets: The buckets that have exceptions on this instance.
         conflicts: Servers from conflicting placements, where two owners placed a flow.
     """
 
     __slots__ = (
-        "_advertised",
-        "_clean_at",
-        "_exception_counts",
-        "_pending_waits",
         "_revoked_at",
         "_state",
         "_unresolved",
+        "buckets",
         "conflicts",
     )
 
     def __init__(self, state: PlacementState) -> None:
         self._state = state
-        self._exception_counts: dict[int, int] = {}
-        self._advertised: set[int] = set()
-        self._clean_at: dict[int, float] = {}
-        # For each dirty bucket, the members that may still hold a certificate of it:
-        # their log, the bucket operation and the end of the lease.
-        self._pending_waits: dict[
-            int, list[tuple[PeerLog | None, LogOp | None, float]]
-        ] = {}
         self._unresolved: dict[bytes, _Unresolved] = {}
         self._revoked_at: OrderedDict[bytes, float] = OrderedDict()
+        self.buckets = DirtyBuckets(state)
         self.conflicts = ConflictingPlacements()
 
-    @property
-    def codes(self) -> Iterable[int]:
-        """Codes of the buckets that have exceptions on this instance."""
-        return self._exception_counts
-
-    @property
-    def count(self) -> int:
-        """Number of exceptions on this instance."""
-        return sum(self._exception_counts.values())
-
-    def has_exceptions(self, code: int) -> bool:
-        """Check whether this instance holds an exception of the bucket."""
-        return code in self._exception_counts
-
-    def is_dirty(self, code: int) -> bool:
-        """Check whether this instance advertises the bucket as dirty."""
-        return code in self._advertised
-
     def in_bucket(self, code: int) -> list[tuple[bytes, int, FlowRecord]]:
         """Return key, hash and record of each exception in a bucket."""
         index, bucket = code >> BUCKET_CODE_SHIFT, code_bucket(code)
@@ -143,8 +110,8 @@
         if not record.flags & FlowFlag.EXCEPTION:
             flags = record.flags | FlowFlag.EXCEPTION
             state.records.put(key, key_hash, record._replace(flags=flags))
-            self._add_to_bucket(code, now)
-        dirty = list(self._unreleased_waits(code, now))
+            self.buckets.add(code, now)
+        dirty = list(self.buckets.unreleased_waits(code, now))
         server = service.servers[record.server].name
         replicas = []
         for peer in self.replicas(service, bucket):
@@ -175,7 +142,7 @@
         flags = record.flags & ~FlowFlag.EXCEPTION
         state.records.put(key, key_hash, record._replace(flags=flags))
         bucket = code_bucket(key_hash)
-        self._remove_from_bucket(service.code(bucket), now)
+        self.buckets.remove(service.code(bucket), now)
         waits: list[tuple[PeerLog | None, LogOp | None, float]] = []
         if state.owns(service, bucket):
             lease_end = now + state.cfg.lease_term_s
@@ -202,7 +169,7 @@
         """Remove the record of a flow on this instance only."""
         record = self._state.records.remove(key, key_hash)
         if record is not None and record.flags & FlowFlag.EXCEPTION:
-            self._remove_from_bucket(service.code(code_bucket(key_hash)), now)
+            self.buckets.remove(service.code(code_bucket(key_hash)), now)
 
     def revoke(self, service: Service, key: bytes, server: str, now: float) -> None:
         """Remove the exception of another owner's placement that is not in use.
@@ -294,7 +261,7 @@
             return ApplyResult.UNCHANGED
         if not server or removed:
             if self._unresolved.pop(key, None) is not None:
-                self._remove_from_bucket(service.code(bucket), now)
+                self.buckets.remove(service.code(bucket), now)
             # An owner's own records take precedence. The former owner of the slice
             # may still revoke a connection attempt that no server has answered.
             if (
@@ -310,7 +277,7 @@
         if number is None:
             if len(self._unresolved) < MAX_UNRESOLVED:
                 if key not in self._unresolved:
-                    self._add_to_bucket(service.code(bucket), now)
+                    self.buckets.add(service.code(bucket), now)
                 self._unresolved[key] = _Unresolved(service_name, server)
             if was_exception and not is_owner:
                 # The replica names a former server; the owner has the new one.
@@ -318,7 +285,7 @@
                 return ApplyResult.CHANGED
             return ApplyResult.UNCHANGED
         if self._unresolved.pop(key, None) is not None:
-            self._remove_from_bucket(service.code(bucket), now)
+            self.buckets.remove(service.code(bucket), now)
         if record is not None and is_owner and self._takes_precedence(key, record):
             if names_other_server:
                 # Owners on both sides of a partition placed the flow. This owner
@@ -358,7 +325,7 @@
             key, key_hash, FlowRecord(service.index, number, flags, opened_quarters)
         )
         if not is_plain and not was_exception:
-            self._add_to_bucket(service.code(bucket), now)
+            self.buckets.add(service.code(bucket), now)
         if record is not None and record.server != number:
             return ApplyResult.CHANGED
         return ApplyResult.UNCHANGED if was_exception or is_plain else ApplyResult.ADDED
@@ -376,26 +343,6 @@
         for key, key_hash, _ in self.in_bucket(code):
             self.remove_replica(key, key_hash, service, now)
 
-    def advertise_all(self, log: PeerLog) -> None:
-        """Append every dirty bucket to a log that starts from the beginning."""
-        for code in self._advertised:
-            service = self._state.services[code >> BUCKET_CODE_SHIFT]
-            log.add_bucket(service.name, code_bucket(code), True)
-
-    def tick(self, now: float) -> None:
-        """Advertise buckets as clean `CLEAN_DELAY_S` after the last exception."""
-        while self._clean_at:
-            code, moment = next(iter(self._clean_at.items()))
-            if now < moment:
-                break
-            del self._clean_at[code]
-            self._advertised.discard(code)
-            self._advertise(code, False)
-        for code in [
-            c for c, waits in self._pending_waits.items() if _all_released(waits, now)
-        ]:
-            del self._pending_waits[code]
-
     def _remove_after_queued_adds(
         self, key: bytes, record: FlowRecord, service: Service
     ) -> None:
@@ -417,62 +364,6 @@
         """
         return bool(record.isn) or self._state.half_open.get(key) is not None
 
-    def _add_to_bucket(self, code: int, now: float) -> None:
-        self._exception_counts[code] = self._exception_counts.get(code, 0) + 1
-        self._clean_at.pop(code, None)
-        if code in self._advertised:
-            return
-        self._advertised.add(code)
-        self._state.direct_generation += 1
-        granted_until = self._state.certificates.granted_until
-        ops = self._advertise(code, True)
-        waits = [
-            (*ops.get(peer, (None, None)), lease_end)
-            for peer, lease_end in granted_until.items()
-            if lease_end > now
-        ]
-        if waits and self._state.policy == "exceptions":
-            self._pending_waits[code] = waits
-
-    def _remove_from_bucket(self, code: int, now: float) -> None:
-        count = self._exception_counts.get(code, 0) - 1
-        if count > 0:
-            self._exception_counts[code] = count
-            return
-        self._exception_counts.pop(code, None)
-        self._clean_at.pop(code, None)
-        self._clean_at[code] = now + CLEAN_DELAY_S
-
-    def _advertise(self, code: int, dirty: bool) -> dict[str, tuple[PeerLog, LogOp]]:
-        if self._state.policy != "exceptions":
-            return {}
-        name = self._state.services[code >> BUCKET_CODE_SHIFT].name
-        bucket = code_bucket(code)
-        return {
-            peer: (log, log.add_bucket(name, bucket, dirty))
-            for peer, log in self._state.logs.items()
-        }
-
-    def _unreleased_waits(
-        self, code: int, now: float
-    ) -> list[tuple[PeerLog | None, LogOp | None, float]]:
-        waits = self._pending_waits.get(code)
-        if waits is None:
-            return []
-        if _all_released(waits, now):
-            del self._pending_waits[code]
-            return []
-        return waits
-
-
-def _all_released(
-    waits: list[tuple[PeerLog | None, LogOp | None, float]], now: float
-) -> bool:
-    return all(
-        now >= lease_end or (log is not None and op is not None and log.is_acked(op))
-        for log, op, lease_end in waits
-    )
-
 
 def _was_accepted(record: FlowRecord) -> bool:
     """Check whether the SYN-ACK of a flow that is not closed passed through here."""
--- a/src/magnoliaslip/placement/explanation.py
+++ b/src/magnoliaslip/placement/explanation.py
@@ -67,7 +67,7 @@
         f"{_server_name(service, service.epochs.current_default(bucket))}, "
         f"base default {_server_name(service, service.epochs.base_default(bucket))}",
     ]
-    if exceptions.is_dirty(code) or state.certificates.is_dirty(code):
+    if exceptions.buckets.is_dirty(code) or state.certificates.is_dirty(code):
         steps.append("the bucket holds exceptions")
     record = state.records.get(key, key_hash)
     if record is not None:
--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -114,7 +114,7 @@
             now: Monotonic time in seconds.
         """
         count, former_holders = former_count_and_holders
-        for code in self._exceptions.codes:
+        for code in self._exceptions.buckets.codes:
             if code >> BUCKET_CODE_SHIFT != service.index:
                 continue
             bucket = code_bucket(code)
@@ -134,7 +134,7 @@
 
     def resend_to(self, peer: str) -> None:
         """Queue every exception that a peer should hold but may no longer have."""
-        for code in self._exceptions.codes:
+        for code in self._exceptions.buckets.codes:
             service = self._state.services[code >> BUCKET_CODE_SHIFT]
             holders = service.slices.holders(code_bucket(code))
             if holders and peer in (holders.owner, *holders.replicas):
@@ -174,7 +174,7 @@
             members = sorted([*members, joiner], key=lambda member: member.id)
         ops: list[LogOp] = []
         holders: dict[tuple[int, int], Holders | None] = {}
-        for code in self._exceptions.codes:
+        for code in self._exceptions.buckets.codes:
             service = state.services[code >> BUCKET_CODE_SHIFT]
             slice_number = code_bucket(code) % _slice_count_of(service)
             slice_key = service.index, slice_number
@@ -250,7 +250,9 @@
             if former not in members:
                 service = self._state.services[code >> BUCKET_CODE_SHIFT]
                 holders = service.slices.holders(code_bucket(code))
-                if holders is not None and self._exceptions.has_exceptions(code):
+                if holders is not None and self._exceptions.buckets.has_exceptions(
+                    code
+                ):
                     self._resend_queue.setdefault(code, set()).add(holders.owner)
             elif now < deadline:
                 continue
@@ -285,7 +287,7 @@
         if holders is None:
             return
         if holders.owner == state.instance_id:
-            if self._exceptions.has_exceptions(code):
+            if self._exceptions.buckets.has_exceptions(code):
                 self._resend_queue.setdefault(code, set()).update(holders.replicas)
         elif state.instance_id not in holders.replicas:
             self._remove_at[code] = state.now() + REPLICA_RETENTION_S
--- a/src/magnoliaslip/placement/peer_exchange.py
+++ b/src/magnoliaslip/placement/peer_exchange.py
@@ -87,7 +87,7 @@
                 first = self._last_sequences.get(peer, 0) + 1
                 log = PeerLog(peer, incarnation, state.peers.send, first_sequence=first)
                 state.logs[peer] = log
-                self._exceptions.advertise_all(log)
+                self._exceptions.buckets.advertise_all(log)
                 self._handover.resend_to(peer)
             elif log.incarnation < incarnation:
                 self._restart(log, incarnation)
@@ -185,7 +185,7 @@
 
     def _restart(self, log: PeerLog, incarnation: int) -> None:
         log.restart(incarnation)
-        self._exceptions.advertise_all(log)
+        self._exceptions.buckets.advertise_all(log)
         self._handover.resend_to(log.peer)
 
     def _receiver(self, peer: str, incarnation: int) -> LogReceiver | None:
@@ -247,7 +247,7 @@
         Replicas of a slice whose ownership the peer has just gained are kept: they
         came from the former owner, and the peer may not have received them yet.
         """
-        for code in list(self._exceptions.codes):
+        for code in list(self._exceptions.buckets.codes):
             service = self._state.services[code >> 16]
             if service.slices.owner(
                 code & 0xFFFF
--- a/src/magnoliaslip/placement/router.py
+++ b/src/magnoliaslip/placement/router.py
@@ -148,7 +148,7 @@
     @property
     def exceptions_held(self) -> int:
         """Number of exceptions held as owner or replica."""
-        return self._exceptions.count
+        return self._exceptions.buckets.count
 
     def handle_packet(
         self, packet: bytes, *, direction: Direction, hops: int = 0
@@ -292,7 +292,7 @@
         if self._window.tick(now):
             self._update_member_versions()
             state.direct_generation += 1
-        self._exceptions.tick(now)
+        self._exceptions.buckets.tick(now)
         self._handover.tick(now)
         self._exchange.tick(now)
         self._direct.refresh(now)
