Give a server whose zone is out no precedence over another owner's placement

After the heal it kept its half-open record against the placement of the other side, revoked that one, took the SYN-ACK for its own server's, and reset the caller because the zone of its recorded server is out. Change: such a record takes no precedence; the other placement replaces it and ends the half-open flow of the owner. Test: test_server_of_a_zone_that_is_out_takes_no_precedence failed before the change.

--- a/src/magnoliaslip/placement/exception_store.py
+++ b/src/magnoliaslip/placement/exception_store.py
@@ -308,8 +308,8 @@
             # The former server may have accepted a SYN of the flow as well.
             self.conflicts.add(key, record.server, now)
         half_open = state.half_open.get(key)
-        if half_open is not None and not is_owner and names_other_server:
-            # This instance placed the flow on the other side of a partition. Its own
+        if half_open is not None and names_other_server:
+            # This instance placed the flow as well, during a partition. Its own
             # server may have received the SYN, and the next SYN must not go there.
             if half_open.sent:
                 self.send_to_owner(key, key_hash, service, now)
@@ -360,9 +360,14 @@
         """Check whether an owner's record takes precedence over a received one.
 
         True if this instance has handled the SYN or SYN-ACK of the flow. Other records
-        came from members that may change them, even while views or zones differ.
+        came from members that may change them, even while views or zones differ. No
+        packet may be sent to a server whose zone is out.
         """
-        return bool(record.isn) or self._state.half_open.get(key) is not None
+        state = self._state
+        service = state.services[record.service]
+        if service.servers[record.server].zone in state.snapshot.zones_out:
+            return False
+        return bool(record.isn) or state.half_open.get(key) is not None
 
 
 def _was_accepted(record: FlowRecord) -> bool:
--- a/tests/placement/test_conflicting_placements.py
+++ b/tests/placement/test_conflicting_placements.py
@@ -32,6 +32,32 @@
     assert other in fleet.answered_by(key)
 
 
+def test_server_of_a_zone_that_is_out_takes_no_precedence():
+    # Guards against a reset of a flow that the other side placed: the owner keeps its
+    # own unanswered placement, whose zone is out.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    own = fleet.default(key)
+    zone = _zone_of(fleet, own)
+    other = next(name for name in fleet.servers if _zone_of(fleet, name) != zone)
+    fleet.servers[own].mode = "silent"
+    fleet.send_syn(key, via=owner)
+    fleet.publish(zones_out=[zone])
+    assert fleet.owner(key, at=owner) == owner
+    fleet.servers[other].flows.add(key)
+    now = fleet.clock.monotonic()
+    fleet.nodes[owner].router._exceptions.apply("rota", key, other, now)
+    fleet.send_segment(key, via=owner)
+    assert not fleet.was_reset(key)
+    assert fleet.answered_by(key) == [other]
+
+
+def _zone_of(fleet, name):
+    servers = fleet.history[-1].snapshot.pools["rota"].servers
+    return next(server.zone for server in servers if server.name == name)
+
+
 def test_conflicts_are_bounded():
     # Guards against memory that grows with every partition.
     conflicts = ConflictingPlacements()
