Ignore late resets of a server that another owner's placement replaced

The exception arrived at 16.406 s, the resets of the default at 16.408 s; they counted against the server of the exception, and the owner switched back to the default. Change: the wait of 0.1 s that follows other changes of the record follows this one too. ConflictingPlacements.add has was_used in place of was_reset. Test: test_late_reset_of_the_former_server_changes_nothing failed before the change.

--- a/src/magnoliaslip/placement/conflicting_placements.py
+++ b/src/magnoliaslip/placement/conflicting_placements.py
@@ -34,7 +34,7 @@
         self._flows: OrderedDict[bytes, tuple[int, float, float]] = OrderedDict()
 
     def add(
-        self, key: bytes, number: int, now: float, *, was_reset: bool = False
+        self, key: bytes, number: int, now: float, *, was_used: bool = False
     ) -> None:
         """Add the other server of a flow.
 
@@ -42,10 +42,10 @@
             key: Flow key.
             number: Number of the other server.
             now: Monotonic time in seconds.
-            was_reset: Whether a reset was received when this server was used, so that
-                more resets of it may be in transit.
+            was_used: Whether packets were sent to this server until now, so that
+                resets of it may be in transit.
         """
-        swap_at = now + MIN_SWAP_INTERVAL_S if was_reset else now
+        swap_at = now + MIN_SWAP_INTERVAL_S if was_used else now
         self._flows[key] = number, now + CONFLICT_RETENTION_S, swap_at
         self._flows.move_to_end(key)
         if len(self._flows) > MAX_CONFLICTS:
--- a/src/magnoliaslip/placement/exception_store.py
+++ b/src/magnoliaslip/placement/exception_store.py
@@ -306,7 +306,7 @@
             return ApplyResult.UNCHANGED
         if record is not None and is_owner and names_other_server:
             # The former server may have accepted a SYN of the flow as well.
-            self.conflicts.add(key, record.server, now)
+            self.conflicts.add(key, record.server, now, was_used=True)
         half_open = state.half_open.get(key)
         if half_open is not None and names_other_server:
             # This instance placed the flow as well, during a partition. Its own
--- a/src/magnoliaslip/placement/owner.py
+++ b/src/magnoliaslip/placement/owner.py
@@ -298,7 +298,7 @@
         if half_open is None:
             # The reset may come from another server, and this one have the flow.
             self._exceptions.conflicts.add(
-                packet.key, record.server, now, was_reset=True
+                packet.key, record.server, now, was_used=True
             )
         self._forwarder.drop(packet, "uncertain_reset")
 
--- a/tests/placement/test_conflicting_placements.py
+++ b/tests/placement/test_conflicting_placements.py
@@ -1,5 +1,7 @@
 """Flows that owners on both sides of a partition have placed."""
 
+from magnoliaslip.packet.flow_key import ACK, PSH
+from magnoliaslip.packet.segment import Segment
 from magnoliaslip.placement.conflicting_placements import (
     MAX_CONFLICTS,
     ConflictingPlacements,
@@ -32,6 +34,32 @@
     assert other in fleet.answered_by(key)
 
 
+def test_late_reset_of_the_former_server_changes_nothing():
+    # Guards against an owner that gives up the other side's server for a reset of the
+    # server to which it forwarded packets before it learned of the other one.
+    fleet = Fleet(5)
+    key = flow(1)
+    owner = fleet.owner(key)
+    router = fleet.nodes[owner].router
+    own = fleet.default(key)
+    other = next(name for name in fleet.servers if name != own)
+    fleet.servers[other].flows.add(key)
+    fleet.servers[own].mode = "silent"
+    fleet.send_segment(key, via=owner)
+    now = fleet.clock.monotonic()
+    fleet.set_view(unreachable=[next(name for name in fleet.nodes if name != owner)])
+    fleet.set_view()
+    router._state.services[0].slices.restart_settling(now)
+    router._exceptions.apply("rota", key, other, now)
+    late = Segment(key, PSH | ACK, seq=101, ack=1, payload=b"x").reset_reply()
+    fleet.servers[own].answer(late)
+    fleet.deliver()
+    fleet.run(0.2)
+    fleet.send_segment(key, via=owner)
+    assert not fleet.was_reset(key)
+    assert fleet.answered_by(key) == [other]
+
+
 def test_server_of_a_zone_that_is_out_takes_no_precedence():
     # Guards against a reset of a flow that the other side placed: the owner keeps its
     # own unanswered placement, whose zone is out.
