End a half-open flow that the owner has revoked

After the heal the owner i2 kept the flow at ro-1 and revoked ro-3, but i1 kept its half-open record, as if it were an owner whose replica a former owner withdraws, and forwarded packets of the established flow to ro-3. Change: only the owner keeps a half-open flow against a revocation; other members end it, and the next SYN goes to the owner. Test: test_owner_revokes_a_half_open_flow_of_the_other_side failed before the change.

--- a/src/magnoliaslip/placement/exception_store.py
+++ b/src/magnoliaslip/placement/exception_store.py
@@ -245,6 +245,7 @@
         names_other_server = (
             record is not None and service.servers[record.server].name != server
         )
+        is_half_open = state.half_open.get(key) is not None
         if removed and is_owner:
             is_confirmed = (
                 was_exception
@@ -253,10 +254,10 @@
                 and record.isn
             )
             # Members that are not replicas of the sender may hold it as well.
-            is_unused = not is_confirmed and state.half_open.get(key) is None
+            is_unused = not is_confirmed and not is_half_open
             if names_other_server or is_unused:
                 self.revoke(service, key, server, now)
-        if removed and (names_other_server or state.half_open.get(key) is not None):
+        if removed and (names_other_server or (is_owner and is_half_open)):
             # In the second case a half-open flow here already uses this replica.
             return ApplyResult.UNCHANGED
         if not server or removed:
@@ -271,6 +272,7 @@
             ):
                 return ApplyResult.UNCHANGED
             self._remove_after_queued_adds(key, record, service)
+            state.half_open.remove(key)
             self.remove_record(key, key_hash, service, now)
             return ApplyResult.CHANGED
         number = service.servers.find(server)
--- a/tests/placement/test_conflicting_placements.py
+++ b/tests/placement/test_conflicting_placements.py
@@ -6,7 +6,7 @@
     MAX_CONFLICTS,
     ConflictingPlacements,
 )
-from tests.placement.fleet import Fleet, flow
+from tests.placement.fleet import Fleet, find_flow, flow
 
 
 def test_reset_flow_switches_to_the_server_of_the_other_side():
@@ -81,6 +81,39 @@
     assert fleet.answered_by(key) == [other]
 
 
+def test_owner_revokes_a_half_open_flow_of_the_other_side():
+    # Guards against packets that a member of the cut-off side forwards to its own
+    # server after the heal, while the owner has placed the flow on another one.
+    fleet = Fleet(5)
+    key = find_flow(
+        lambda key: (
+            fleet.owner(key) != "i1"
+            and _zone_of(fleet, fleet.default(key)) != fleet.zone("i1")
+        )
+    )
+    owner, own = fleet.owner(key), fleet.default(key)
+    others = [name for name in fleet.nodes if name != "i1"]
+    for server in fleet.servers.values():
+        server.mode = "silent"
+    fleet.partitions = {("i1", name) for name in others}
+    fleet.set_view(at=["i1"], unreachable=others)
+    fleet.set_view(at=others, unreachable=["i1"])
+    fleet.run(3.5)
+    for _ in range(10):  # the first are held until leases have expired
+        fleet.send_syn(key, via="i1")
+        fleet.run(0.2)
+    fleet.send_syn(key, via=owner)
+    assert fleet.servers_of(key) > {own}
+    fleet.partitions = set()
+    fleet.set_view()
+    fleet.run(1.0)
+    fleet.servers[own].mode = "accept"
+    fleet.send_syn(key, via=owner)
+    assert fleet.established(key)
+    fleet.send_segment(key, via="i1")
+    assert fleet.answered_by(key) == [own]
+
+
 def _zone_of(fleet, name):
     servers = fleet.history[-1].snapshot.pools["rota"].servers
     return next(server.zone for server in servers if server.name == name)
