End suspicions that two instances' evidence kept young by turns

Instances keep the last evidence on a server by its name and the time of its first arrival, as ages in digests leave out the time in transit. With evidence of two instances each was forgotten when the other replaced it, returned some hops later looking newer, and so on: suspicions outlived the answers that should have ended them, and new flows avoided a server that served.

The last 16 names are remembered; an observation that was seen before is no news.

--- a/src/magnoliaslip/gossip/evidence_table.py
+++ b/src/magnoliaslip/gossip/evidence_table.py
@@ -1,5 +1,6 @@
 """Evidence on servers that the instances of a zone share."""
 
+from collections import deque
 from collections.abc import Iterable
 
 from xxhash import xxh32_intdigest
@@ -21,6 +22,8 @@
 # An observation that is newer by less than this time in seconds is no news: its age
 # leaves out the time that it took to arrive.
 MIN_NEWS_S = 0.1
+# Names of observations that are remembered, of one kind and record.
+MAX_SEEN_OBSERVATIONS = 16
 
 _NEVER = float("-inf")
 _MASK_16_BITS = (1 << 16) - 1
@@ -45,22 +48,27 @@
     """Evidence or an answer: what it is named, and when it was made.
 
     The same observation arrives by many ways, each time a little younger, as its age
-    leaves out the time in transit. The time of the first arrival is kept.
+    leaves out the time in transit. The time of the first arrival is kept, also when
+    another one was newer meanwhile: two would keep each other young otherwise.
 
     Attributes:
         id: Its name, see `observation_id`.
         at: Monotonic time in seconds.
     """
 
-    __slots__ = ("at", "id")
+    __slots__ = ("_seen", "at", "id")
 
     def __init__(self) -> None:
         self.id = 0
         self.at = _NEVER
+        self._seen: deque[int] = deque(maxlen=MAX_SEEN_OBSERVATIONS)
 
     def update(self, id: int, at: float) -> bool:
         """Replace it by a newer one; returns whether it was replaced."""
-        if id == self.id or at < self.at + MIN_NEWS_S:
+        if id in self._seen:
+            return False
+        self._seen.append(id)
+        if at < self.at + MIN_NEWS_S:
             return False
         self.id, self.at = id, at
         return True
