Keep the rate of cold servers while instances start by hundreds

Each instance takes an equal share of the new flows per second that a service states for its cold servers. One that has just started knew no others and took the whole rate, and its summary of its zone, with a low count and a number ahead of those of older processes, made the fleet look smaller to instances that knew it.

An instance has no share in the first 3 s of its process, as long as it is joining; in that time its summary does not lower the count of a zone. Without a stated rate nothing changes: None is no limit now, 0 is nothing. A service whose servers are all cold and state a rate gets no new flows from instances that start until then; warm servers, if any, get them.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -267,8 +267,15 @@
 
         False until this one has had the time to learn of the others.
         """
-        is_joining = self._clock.monotonic() < self._started_at + JOINING_DURATION_S
-        return self.members.is_mesh and not is_joining
+        return self.members.is_mesh and not self._is_joining()
+
+    def cold_share(self) -> float:
+        """Return this instance's share in the rates that cold servers can handle.
+
+        0 until this instance has had the time to learn of the others: when hundreds
+        start at once, each would take the whole rate.
+        """
+        return 0.0 if self._is_joining() else 1 / self.members.fleet_size
 
     def digest(self, now: float, *, other_zone: bool = False) -> Digest:
         """Return the digest of this instance.
@@ -291,7 +298,7 @@
             members.heartbeat,
             self._directory.revision,
             self._leaving,
-            now < self._started_at + JOINING_DURATION_S,
+            self._is_joining(),
             self._reads_store(),
             () if other_zone and not members.is_mesh else self._loads.own_loads(now),
             self._evidence.items(now, other_zone=other_zone),
@@ -302,6 +309,9 @@
             self._directory.era,
         )
 
+    def _is_joining(self) -> bool:
+        return self._clock.monotonic() < self._started_at + JOINING_DURATION_S
+
     def _record_answers(self, digest: Digest, now: float) -> None:
         """Record which servers answer an instance of the own zone."""
         for item in digest.loads:
--- a/src/magnoliaslip/gossip/membership.py
+++ b/src/magnoliaslip/gossip/membership.py
@@ -189,7 +189,7 @@
             for entry in digest.members:
                 self._record_entry(entry, now)
         for report in digest.zones:
-            self._record_report(report, now)
+            self._record_report(report, now, joining=digest.joining)
         return member
 
     def live(self, now: float) -> list[Member]:
@@ -386,12 +386,24 @@
             entry.heartbeat, now, leaving=entry.leaving, reads_store=entry.reads_store
         )
 
-    def _record_report(self, report: ZoneReport, now: float) -> None:
+    def _record_report(
+        self, report: ZoneReport, now: float, *, joining: bool = False
+    ) -> None:
+        """Apply a summary of a zone unless a better one is known.
+
+        Args:
+            report: The summary.
+            now: Monotonic time in seconds.
+            joining: Whether the sender has just started; what it has heard of so far
+                is no reason to believe that a zone has become smaller.
+        """
         held = self.reports.get(report.zone)
         if (
             held is not None
-            and report.number <= held.number
             and self.report_is_recent(report.zone, now)
+            and (
+                report.number <= held.number or (joining and report.count < held.count)
+            )
         ):
             return
         for data in report.hosts:
--- a/src/magnoliaslip/steering/bounded_load_selector.py
+++ b/src/magnoliaslip/steering/bounded_load_selector.py
@@ -60,7 +60,7 @@
         *,
         near: Sequence[TrackedServer] = (),
         tried: Collection[TrackedServer] = (),
-        cold_opens_per_s: float = 0.0,
+        cold_opens_per_s: float | None = None,
         instance_count: int = 1,
     ) -> TrackedServer | None:
         """Choose a server; None when none may get the flow.
@@ -77,7 +77,7 @@
             near: Those of them in the own zone; used only if there are many candidates.
             tried: Servers that did not answer this flow, or another of its caller.
             cold_opens_per_s: New flows per second that this instance may place on a
-                cold server; 0 for no limit.
+                cold server; None for no limit.
             instance_count: Instances that place flows, this one included.
         """
         if len(candidates) > MAX_SAMPLE:
@@ -101,7 +101,7 @@
         warm = [tracked for tracked in usable if tracked.cold_until <= now]
         if warm:
             return self._choose_by_load(warm, flow, now, instance_count)
-        if cold_opens_per_s:
+        if cold_opens_per_s is not None:
             usable = [
                 tracked
                 for tracked in usable
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -64,8 +64,9 @@
         correction_time_s: Time in seconds that other instances have to correct the
             evidence against a server before its flows are reset; `CORRECTION_TIME_S`
             until the size of the fleet is known.
-        instance_count: Instances that share the budgets of cold servers, including
-            this one.
+        cold_share: Share of this instance in the rates that cold servers can handle; 0
+            until the size of the fleet is known.
+        instance_count: Instances that place flows, including this one.
         observe: Called with the name of a histogram and a duration in seconds.
         on_evidence: Called when a packet was not answered in time.
         before_judgement: Called before the evidence on servers is used.
@@ -85,6 +86,7 @@
         "_queue_empty_at",
         "_selector",
         "before_judgement",
+        "cold_share",
         "correction_time_s",
         "counters",
         "flows",
@@ -115,6 +117,7 @@
         self.observe: Callable[[str, float], None] | None = None
         self.on_evidence: Callable[[], None] | None = None
         self.before_judgement: Callable[[], None] | None = None
+        self.cold_share = 0.0
         self.instance_count = 1
         self.correction_time_s = CORRECTION_TIME_S
         self.queued_packets = 1
@@ -415,11 +418,16 @@
             and entry.sent_at < self._backlog_since
         )
 
-    def _cold_opens_share_per_s(self, service: str) -> float:
-        """Return this instance's share of the rate that a cold server can handle."""
+    def _cold_opens_share_per_s(self, service: str) -> float | None:
+        """Return this instance's share of the rate that a cold server can handle.
+
+        None if no rate is stated.
+        """
         table = self._directory.table
         limits = table.services.get(service) if table else None
-        return limits.cold_opens_per_s / self.instance_count if limits else 0.0
+        if limits is None or not limits.cold_opens_per_s:
+            return None
+        return limits.cold_opens_per_s * self.cold_share
 
     def _record_answer(self, tracked: TrackedServer, flow: bytes, now: float) -> None:
         if tracked.record_answer(now):
--- a/src/magnoliaslip/steering/warmup.py
+++ b/src/magnoliaslip/steering/warmup.py
@@ -4,10 +4,12 @@
 class WarmUpBudget:
     """Token bucket for the new flows of this instance on one cold server.
 
-    The rate that the service states applies to the whole fleet. Without a coordinator,
-    each instance uses an equal share of it, counting itself and the instances in its
-    peer table. Those that are not live count until they expire, as they may keep
-    running in a partition.
+    Answers the load pattern of all servers of a service that come up cold at once, by
+    dozens, while instances start too. The rate that the service states applies to the
+    whole fleet. Without a coordinator, each instance uses an equal share of it,
+    counting itself and the instances that it knows of. Those that are not live count
+    until they expire, as they may keep running in a partition. An instance that has
+    just started does not know the others yet and has no share.
 
     Args:
         now: Monotonic time in seconds.
