--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -270,21 +270,30 @@
 
         False until this one has had the time to learn of the others.
         """
-        is_joining = self._clock.monotonic() < self._started_at + JOINING_DURATION_S
-        return self.members.is_mesh and not is_joining
+        return self.members.is_mesh and not self._is_joining()
+
+    def cold_share(self) -> float:
+        """Return this instance's share in the rates that cold servers can handle.
+
+        0 until this instance has had the time to learn of the others: when hundreds
+        start at once, each would take the whole rate.
+        """
+        return 0.0 if self._is_joining() else 1 / self.members.fleet_size
 
     def digest(self, now: float, *, other_zone: bool = False) -> Digest:
         """Return the digest of this instance.
 
         Args:
             now: Monotonic time in seconds.
-            other_zone: Whether the receiver is in another zone, and needs neither the
-                members of this one nor what applies to this one only.
+            other_zone: Whether the receiver is in another zone, and needs a summary of
+                this one in place of its members and of what applies to it only.
         """
         members, rng = self.members, self._rng
         reports = list(members.reports.values())
-        chosen = rng.sample(reports, min(MAX_OTHER_ZONES_IN_DIGEST, len(reports)))
-        own_report = members.own_report(now, rng, self._loads.zone_loads)
+        zones = tuple(rng.sample(reports, min(MAX_OTHER_ZONES_IN_DIGEST, len(reports))))
+        if other_zone:
+            own_report = members.own_report(now, rng, self._loads.zone_loads)
+            zones = (own_report, *zones)
         after, changes = self._recent_changes.encode(now)
         return Digest(
             DIGEST_FORMAT,
@@ -292,17 +301,20 @@
             members.heartbeat,
             self._directory.revision,
             self._leaving,
-            now < self._started_at + JOINING_DURATION_S,
+            self._is_joining(),
             self._reads_store(),
             () if other_zone and not members.is_mesh else self._loads.own_loads(now),
             self._evidence.items(now, other_zone=other_zone),
             () if other_zone else members.entries(now, rng),
-            (own_report, *chosen),
+            zones,
             after,
             changes,
             self._directory.era,
         )
 
+    def _is_joining(self) -> bool:
+        return self._clock.monotonic() < self._started_at + JOINING_DURATION_S
+
     def _record_answers(self, digest: Digest, now: float) -> None:
         """Record which servers answer an instance of the own zone."""
         for item in digest.loads:
