Keep log lines from raising an error or looping without end

Cause: a line was encoded strictly, so received text with half of a surrogate pair (the key of a store item, for example) raised UnicodeEncodeError from the handler into the code that logged it; the reader of the store then never got past that item. A line of more than about 300 short fields was cut without end: a field of three characters grows when it is cut. Change: what JSON or UTF-8 can't represent becomes escaped text; a line whose fields are all short loses its last ones.

--- a/src/magnoliaslip/core/json_log.py
+++ b/src/magnoliaslip/core/json_log.py
@@ -7,6 +7,7 @@
 from logging import ERROR, Handler, LogRecord, getLogger
 from os import set_blocking, write
 
+from msgspec import Raw
 from msgspec.json import Encoder
 
 from magnoliaslip.core.clock import Clock
@@ -14,6 +15,8 @@
 
 # Fields of longer lines are cut: writes of up to this length to a pipe are atomic.
 MAX_LINE_BYTES = 4096
+# If a line is too long and no field is longer than this, it has too many fields.
+MIN_CUT_BYTES = 64
 
 _ENCODER = Encoder(enc_hook=str)
 
@@ -112,13 +115,33 @@
 
 
 def _encode_line(line: dict[str, object]) -> bytes:
-    """Encode a line; the longest fields are cut until it is short enough."""
-    data = _ENCODER.encode(line)
+    """Encode a line that is short enough.
+
+    The longest fields are cut first; the last fields are left out if that isn't enough.
+    """
+    data = _encode_value(line)
     while len(data) >= MAX_LINE_BYTES:
-        texts = {name: _ENCODER.encode(value) for name, value in line.items()}
+        texts = {name: _encode_value(value) for name, value in line.items()}
         longest = max(line, key=lambda name: len(texts[name]))
-        value = line[longest]
-        text = value if isinstance(value, str) else texts[longest].decode()
-        line = line | {longest: text[: len(text) // 2] + "..."}
-        data = _ENCODER.encode(line)
+        if len(texts[longest]) > MIN_CUT_BYTES:
+            value = line[longest]
+            text = value if isinstance(value, str) else texts[longest].decode()
+            line = line | {longest: text[: len(text) // 2] + "..."}
+        else:
+            line = dict(list(line.items())[: len(line) // 2])
+        data = _encode_value(line)
     return data + b"\n"
+
+
+def _encode_value(value: object) -> bytes:
+    """Encode a value; what JSON or UTF-8 can't represent becomes escaped text.
+
+    Text that was received can contain half of a surrogate pair.
+    """
+    try:
+        return _ENCODER.encode(value)
+    except Exception:
+        if isinstance(value, dict):
+            fields = {ascii(key)[1:-1]: _encode_value(v) for key, v in value.items()}
+            return _ENCODER.encode({key: Raw(data) for key, data in fields.items()})
+        return _ENCODER.encode(ascii(value))
--- a/tests/core/test_json_log.py
+++ b/tests/core/test_json_log.py
@@ -1,9 +1,11 @@
 """Guards against logging that blocks, floods or crashes an instance."""
 
+from contextlib import contextmanager
 from fcntl import F_GETFL, fcntl
 from json import loads
 from logging import INFO, getLogger
 from os import O_NONBLOCK, close, pipe, read
+from signal import SIGALRM, alarm, signal
 
 import pytest
 
@@ -31,6 +33,20 @@
     close(write_fd)
 
 
+@contextmanager
+def timer_that_ends_the_test(seconds):
+    def end_test(signum, frame):
+        raise AssertionError("no end after the time limit")
+
+    former = signal(SIGALRM, end_test)
+    alarm(seconds)
+    try:
+        yield
+    finally:
+        alarm(0)
+        signal(SIGALRM, former)
+
+
 def lines(read_fd):
     return [loads(line) for line in read(read_fd, 1 << 20).splitlines()]
 
@@ -96,6 +112,30 @@
     assert fields["server"][0] in line["server"]
 
 
+def test_line_of_too_many_short_fields_is_shortened_and_still_json(logging_setup):
+    # Guards against a loop without end: such fields get no shorter when they are cut.
+    logger, _, read_fd, _ = logging_setup
+    fields = {f"field{n}": "abc" for n in range(600)}
+    with timer_that_ends_the_test(5):
+        log_event(logger, Event.FLOW_PLACED, **fields)
+    data = read(read_fd, 1 << 20)
+    assert MAX_LINE_BYTES / 4 < len(data) <= MAX_LINE_BYTES
+    line = loads(data)
+    assert (line["event"], line["field0"]) == ("FLOW_PLACED", "abc")
+
+
+@pytest.mark.parametrize(
+    "value", ["half a pair \ud800", ["\udfff"], {"\ud800": 1}, {(1, 2): "x"}]
+)
+def test_field_that_json_cannot_represent_does_not_raise(logging_setup, value):
+    # Guards against received text that raises where it is logged.
+    logger, handler, read_fd, _ = logging_setup
+    log_event(logger, Event.ENTRY_UNREADABLE, key=value, reason="y")
+    [line] = lines(read_fd)
+    assert line["reason"] == "y" and line["key"]
+    assert handler.written == 1
+
+
 def test_line_has_the_time_of_an_earlier_event(logging_setup):
     # Guards against events from before the event loop that are all logged with the
     # time at which the loop starts, seconds later.
