Reject store positions and texts that instances can't pass on

Cause: an era of more than 4,300 digits raised ValueError out of the decoder, where the first read and the reader expect PlatformError; eras and revisions of more than 63 bits, negative ones and true were accepted and then raised in every digest.

--- a/src/magnoliaslip/core/field_reader.py
+++ b/src/magnoliaslip/core/field_reader.py
@@ -19,6 +19,8 @@
     Raises:
         ValueError: The field is missing and has no default, has another type, or is a
             number that is not finite or has more than 63 bits.
+        UnicodeEncodeError: The field has half of a surrogate pair. This is a
+            `ValueError`, too.
     """
     if not isinstance(entry, dict):
         raise ValueError("the entry is not a JSON object")
@@ -29,4 +31,6 @@
         raise ValueError(f"field {name!r} has the wrong type")
     if isinstance(value, int | float) and not abs(value) < _NUMBER_LIMIT:
         raise ValueError(f"field {name!r} is not a number of up to 63 bits")
+    if isinstance(value, str):
+        value.encode()  # JSON may contain text that can't be sent to other instances
     return value
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -6,6 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.json import encode
 
 from fleet_adapter.entries import decode_item
 from fleet_adapter.packets import encode_server_id
@@ -180,13 +181,17 @@
     st.integers(-(2**70), 2**70),
     st.floats(),
 )
+# JSON may contain halves of surrogate pairs.
+ODD_TEXTS = st.text(max_size=5) | st.sampled_from(["\ud800", "a\udfff"])
 ODD_VALUES = st.one_of(
-    ODD_NUMBERS, st.none(), st.text(max_size=5), st.lists(ODD_NUMBERS, max_size=2)
+    ODD_NUMBERS, st.none(), ODD_TEXTS, st.lists(ODD_NUMBERS, max_size=2)
 )
 
 
 def use(change):
     """Use a decoded change as an instance does, and pass it on to another."""
+    if isinstance(change, UnreadableEntry):
+        encode((change.key, change.reason, change.server_id))
     directory = Directory()
     directory.apply(ChangeBatch(1, (change,)))
     servers = ServerSet(retention_s=60)
@@ -201,6 +206,19 @@
     assert copy.servers == directory.servers
 
 
+@given(
+    st.sampled_from(["servers/", "op/config", "op/evacuate/", ""]),
+    ODD_TEXTS,
+    st.booleans(),
+)
+def test_any_key_is_used_or_unreadable(prefix, name, removed):
+    # Guards against a zone or identifier that no digest and no snapshot can contain.
+    item = encode_item(prefix + name, SERVER_ENTRY) | {"removed": removed}
+    change = decode_item(item)
+    if change is not None:
+        use(change)
+
+
 @given(
     st.sampled_from(sorted(SERVER_ENTRY)),
     ODD_VALUES,
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -113,7 +113,7 @@
     assert run(call_store, answer).position == StorePosition(0, 3)
 
 
-@pytest.mark.parametrize("era", ["", "x", "-1", "1.5"])
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 30, "9" * 5000])
 def test_era_that_is_no_number_is_a_platform_error(era):
     async def answer(req):
         return HttpResponse(200, b'{"items": [], "as_of": 3}', (("Store-Era", era),))
@@ -173,6 +173,9 @@
         b"{}",
         b'{"items": 5, "as_of": 1}',
         b'{"items": [], "as_of": "x"}',
+        b'{"items": [], "as_of": true}',
+        b'{"items": [], "as_of": -1}',
+        b'{"items": [], "as_of": 18446744073709551616}',
         b'{"items": [5], "as_of": 1}',
         b'{"items": [{"value": ""}], "as_of": 1}',
         b"[" * 100_000,
