--- a/src/magnoliaslip/registry/snapshot.py
+++ b/src/magnoliaslip/registry/snapshot.py
@@ -1,6 +1,9 @@
 """Encodes and decodes a directory, or changes to it, for other instances."""
 
-from msgspec import DecodeError, Struct, ValidationError
+from socket import inet_aton
+from typing import Annotated
+
+from msgspec import DecodeError, Meta, Struct, ValidationError
 from msgspec.json import Decoder, Encoder
 from msgspec.structs import replace
 
@@ -23,22 +26,29 @@
     ZoneChange,
 )
 
+# Numbers that an instance can use and pass on.
+_Integer = Annotated[int, Meta(gt=-(1 << 63), le=(1 << 63) - 1)]
+_Count = Annotated[int, Meta(ge=0, le=(1 << 63) - 1)]
+_Port = Annotated[int, Meta(gt=0, lt=1 << 16)]
+_Ipv4 = Annotated[int, Meta(ge=0, lt=1 << 32)]
+_Weight = Annotated[float, Meta(gt=0)]
+
 
 class _Route(Struct, array_like=True, frozen=True):
-    host: int
-    port: int
-    targets: list[tuple[str, float]]
+    host: _Ipv4
+    port: _Integer
+    targets: list[tuple[str, _Weight]]
     idempotent: bool
 
 
 class _Service(Struct, array_like=True, frozen=True):
     name: str
     cold_opens_per_s: float
-    max_connections: int
+    max_connections: _Integer
 
 
 class _Table(Struct, array_like=True, frozen=True):
-    version: int
+    version: _Integer
     idle_timeout_s: float
     routes: list[_Route]
     services: list[_Service]
@@ -46,25 +56,25 @@
 
 class _Server(Struct, array_like=True, frozen=True):
     id: str
-    started_ms: int
+    started_ms: _Integer
     service: str
     host: str
-    port: int
+    port: _Port
     zone: str
-    slots: int
+    slots: _Count
     draining: bool
-    cold_ms: int
+    cold_ms: _Count
 
 
 class _Document(Struct, array_like=True, frozen=True):
-    revision: int
+    revision: _Count
     complete: bool
     table: _Table | None
     zones_out: list[str]
     zones_in: list[str]
     servers: list[_Server]
     removed: list[str]
-    era: int = 0
+    era: _Count = 0
 
 
 _ENCODER = Encoder()
@@ -121,7 +131,9 @@
     """
     try:
         document = _DECODER.decode(data)
-    except (DecodeError, ValidationError) as exc:
+        for server in document.servers:
+            inet_aton(server.host)
+    except (DecodeError, ValidationError, OSError, ValueError) as exc:
         raise PeerError(f"the snapshot can't be decoded: {exc}") from exc
     changes: list[Change] = []
     if document.table is not None:
--- a/tests/registry/test_directory.py
+++ b/tests/registry/test_directory.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
+from msgspec.json import encode
 
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.registry.directory import MAX_HISTORY_ENTRIES, Directory
@@ -194,3 +195,43 @@
 def test_any_document_is_decoded_or_rejected(data):
     with pytest.raises(PeerError):
         decode_snapshot(data)
+
+
+def document(**fields):
+    """Return a complete snapshot of one server, with some fields replaced."""
+    target = ["desk", fields.get("weight", 1.0)]
+    route = [fields.get("endpoint", 5), 443, [target], True]
+    table = [fields.get("version", 7), 15.0, [route], [["desk", 2.0, 0]]]
+    started, address = fields.get("started_ms", 0), fields.get("host", "10.0.0.1")
+    item = ["i-1", started, "desk", address, fields.get("port", 80), "a"]
+    item += [fields.get("slots", 4), False, fields.get("cold_ms", 0)]
+    revision, era = fields.get("revision", 3), fields.get("era", 1)
+    return encode([revision, True, table, [], [], [item], [], era])
+
+
+def test_valid_document_is_decoded():
+    decoded = decode_snapshot(document())
+    assert decoded.batch.position == (1, 3)
+
+
+@pytest.mark.parametrize(
+    ("field", "values"),
+    [
+        ("revision", [-1, 1 << 63, 10**30]),
+        ("era", [-1, 1 << 63]),
+        ("version", [1 << 63, -(10**30)]),
+        ("endpoint", [-1, 1 << 32]),
+        ("weight", [0, -1.0, -1e308]),
+        ("started_ms", [1 << 63, -(1 << 63)]),
+        ("host", ["", "example.invalid", "10.0.0.256", "a\0b", "\u00e9"]),
+        ("port", [0, -1, 1 << 16]),
+        ("slots", [-1, 1 << 63]),
+        ("cold_ms", [-1, 10**30]),
+    ],
+)
+def test_field_that_no_instance_can_use_is_rejected(field, values):
+    # Guards against a directory whose position no digest can contain, and against a
+    # host that has to be resolved for each packet.
+    for value in values:
+        with pytest.raises(PeerError):
+            decode_snapshot(document(**{field: value}))
