Count the time that a configuration reply waited in the cache

Cause: a reply that is kept for 5 s states the ages of when it was encoded, so a peer took sets for newer than they are, by up to 5 s and the time that its pieces took. Result: tests/peering/test_config_transfer.py: a reply sent 4.5 s after it was encoded, before 54.5, 64.5, 74.5, now 50, 60, 70. restore_sets now takes the time of encoding; the existing calls in the tests pass the same value under its name.

--- a/src/magnoliaslip/peering/config_transfer.py
+++ b/src/magnoliaslip/peering/config_transfer.py
@@ -45,7 +45,7 @@
     def __init__(self, store: SnapshotStore, *, clock: Clock) -> None:
         self._store = store
         self._clock = clock
-        # Expiry time, hash and bytes of each reply.
+        # When each reply was encoded, its hash and its bytes.
         self._reply_cache: dict[tuple, tuple[float, int, bytes]] = {}
 
     def piece(
@@ -63,7 +63,7 @@
             than the current reply or a piece beyond its end.
         """
         wanted = instances if instances_version > req.have_instances_version else b""
-        transfer, data = self._encoded_reply(req, wanted, instances_version)
+        encoded_at, transfer, data = self._encoded_reply(req, wanted, instances_version)
         pieces = max(1, -(-len(data) // PIECE_BYTES))
         piece_number = (
             req.piece if req.transfer == transfer and req.piece < pieces else 0
@@ -73,13 +73,14 @@
             piece=piece_number,
             pieces=pieces,
             number=req.number,
+            age_ms=int((self._clock.monotonic() - encoded_at) * 1000),
             data=data[piece_number * PIECE_BYTES : (piece_number + 1) * PIECE_BYTES],
         )
 
     def _encoded_reply(
         self, req: ConfigRequest, instances: bytes, instances_version: int
-    ) -> tuple[int, bytes]:
-        """Return the hash and the bytes of a reply, from the cache if possible."""
+    ) -> tuple[float, int, bytes]:
+        """Return time of encoding, hash and bytes of a reply, cached if possible."""
         now = self._clock.monotonic()
         history = self._store.history
         key = (
@@ -89,7 +90,9 @@
             history[-1].snapshot.version if history else 0,
             instances_version,
         )
-        self._reply_cache = {k: e for k, e in self._reply_cache.items() if e[0] > now}
+        self._reply_cache = {
+            k: e for k, e in self._reply_cache.items() if now < e[0] + REPLY_CACHE_TTL_S
+        }
         cached = self._reply_cache.get(key)
         if cached is None:
             snapshots = self._value_sets(req, history, now)
@@ -98,11 +101,11 @@
             if len(self._reply_cache) >= MAX_CACHED_REPLIES:
                 del self._reply_cache[next(iter(self._reply_cache))]
             cached = self._reply_cache[key] = (
-                now + REPLY_CACHE_TTL_S,
+                now,
                 xxh3_64_intdigest(data),
                 data,
             )
-        return cached[1], cached[2]
+        return cached
 
     def _value_sets(
         self, req: ConfigRequest, history: Sequence[HistoryEntry], now: float
@@ -132,16 +135,18 @@
 
     Attributes:
         transfer: Hash of the reply, as named in its pieces; 0 before the first piece.
+        age_s: Age of the reply in seconds when its latest piece was sent.
 
     >>> assembly = ReplyAssembly()
     >>> assembly.add(ConfigPiece(transfer=7, piece=0, pieces=1, data=b"x"))
     True
     """
 
-    __slots__ = ("_piece_count", "_piece_data", "transfer")
+    __slots__ = ("_piece_count", "_piece_data", "age_s", "transfer")
 
     def __init__(self) -> None:
         self.transfer = 0
+        self.age_s = 0.0
         self._piece_count = 0
         self._piece_data: list[bytes] = []
 
@@ -173,6 +178,7 @@
             )
         if piece.transfer == self.transfer and piece.piece == len(self._piece_data):
             self._piece_data.append(piece.data)
+            self.age_s = piece.age_ms / 1000
         return len(self._piece_data) == self._piece_count > 0
 
     def reply(self) -> ConfigReply:
@@ -194,14 +200,14 @@
 
 
 def restore_sets(
-    reply: ConfigReply, base: Mapping[str, bytes], *, now: float
+    reply: ConfigReply, base: Mapping[str, bytes], *, encoded_at: float
 ) -> list[PublishedSet]:
     """Restore the sets of published values from the differences in a reply.
 
     Args:
         reply: The reply.
         base: The values of the version that the request named in ``have_version``.
-        now: Monotonic time in seconds at which the reply arrived.
+        encoded_at: Monotonic time in seconds at which the reply was encoded.
 
     Raises:
         PeerError: An index is missing or invalid.
@@ -219,5 +225,5 @@
         values = {
             k: v for k, v in values.items() if k == INDEX_KEY or k in indexed_keys
         }
-        sets.append(PublishedSet(dict(values), now - difference.age_ms / 1000))
+        sets.append(PublishedSet(dict(values), encoded_at - difference.age_ms / 1000))
     return sets
--- a/src/magnoliaslip/peering/peer_feed.py
+++ b/src/magnoliaslip/peering/peer_feed.py
@@ -17,7 +17,6 @@
 from magnoliaslip.peering.membership import LIVENESS_TIMEOUT_S, Membership
 from magnoliaslip.peering.proto.peer_pb2 import (
     ConfigPiece,
-    ConfigReply,
     ConfigRequest,
     PeerMessage,
 )
@@ -176,11 +175,13 @@
             have_instances_version=self._membership.list_version,
         )
         try:
-            reply = await self._request_reply(peer, req)
-            if reply is None:
+            assembly = await self._request_reply(peer, req)
+            if assembly is None:
                 return False
+            reply = assembly.reply()
             base_values = self._store.values_of(have_version) or {}
-            sets = restore_sets(reply, base_values, now=self._clock.monotonic())
+            encoded_at = self._clock.monotonic() - assembly.age_s
+            sets = restore_sets(reply, base_values, encoded_at=encoded_at)
         except PeerError as exc:
             self._metrics.counters["peer_bad_replies"] += 1
             log_event(logger, Event.PEER_REJECTED, peer=peer, error=repr(exc.message))
@@ -200,7 +201,9 @@
         self._metrics.counters["config_transfers"] += 1
         return True
 
-    async def _request_reply(self, peer: str, req: ConfigRequest) -> ConfigReply | None:
+    async def _request_reply(
+        self, peer: str, req: ConfigRequest
+    ) -> ReplyAssembly | None:
         assembly = ReplyAssembly()
         complete = False
         while not complete:
@@ -209,7 +212,7 @@
             if piece is None:
                 return None
             complete = assembly.add(piece)
-        return assembly.reply()
+        return assembly
 
     async def _request_piece(self, peer: str, req: ConfigRequest) -> ConfigPiece | None:
         for _ in range(PIECE_ATTEMPTS):
--- a/tests/peering/test_config_transfer.py
+++ b/tests/peering/test_config_transfer.py
@@ -39,7 +39,7 @@
 
 def test_whole_history_is_restored(store, clock):
     reply = request_config(store, clock, ConfigRequest(with_history=True))
-    sets = restore_sets(reply, {}, now=clock.monotonic())
+    sets = restore_sets(reply, {}, encoded_at=clock.monotonic())
     assert [each.since for each in sets] == pytest.approx([50.0, 60.0, 70.0])
     assert [each.values for each in sets] == [store.values_of(v) for v in (1, 2, 3)]
 
@@ -48,11 +48,25 @@
     # Guards against full transfers at each of 37,000 changes a day.
     reply = request_config(store, clock, ConfigRequest(have_version=2))
     assert [each.version for each in reply.snapshots] == [3]
-    sets = restore_sets(reply, store.values_of(2), now=clock.monotonic())
+    sets = restore_sets(reply, store.values_of(2), encoded_at=clock.monotonic())
     assert sets[0].values == store.values_of(3)
     assert not request_config(store, clock, ConfigRequest(have_version=3)).snapshots
 
 
+def test_reply_from_the_cache_has_the_ages_of_when_it_was_sent(store, clock):
+    # Guards against a peer that takes a configuration for newer than it is, by the
+    # time that the reply waited in the cache or its pieces took to arrive.
+    source = ConfigSource(store, clock=clock)
+    req = ConfigRequest(with_history=True)
+    source.piece(req, b"", 0)
+    clock.advance(4.5)
+    assembly = ReplyAssembly()
+    assert assembly.add(source.piece(req, b"", 0))
+    encoded_at = clock.monotonic() - assembly.age_s
+    sets = restore_sets(assembly.reply(), {}, encoded_at=encoded_at)
+    assert [each.since for each in sets] == pytest.approx([50.0, 60.0, 70.0])
+
+
 def test_instances_are_sent_only_when_newer(store, clock):
     req = ConfigRequest(have_version=3, have_instances_version=4)
     assert request_config(store, clock, req, b"list", 5).instances == b"list"
@@ -93,7 +107,7 @@
     assembly = ReplyAssembly()
     try:
         if assembly.add(ConfigPiece(transfer=1, piece=piece, pieces=pieces, data=data)):
-            restore_sets(assembly.reply(), {}, now=0.0)
+            restore_sets(assembly.reply(), {}, encoded_at=0.0)
     except PeerError:
         pass
 
@@ -104,4 +118,4 @@
     reply = ConfigReply()
     reply.snapshots.add(version=1, values=values)
     with pytest.raises(PeerError):
-        restore_sets(reply, {}, now=0.0)
+        restore_sets(reply, {}, encoded_at=0.0)
