Do not report a busy store as one that does not answer

Cause: the reader counted an answer of 429 or 503, and an outdated list, as no answer, so status and metric said store_answers 0, and PLATFORM_DOWN sent operators to the network. Change: store_answers tells whether the store answered the last read; a busy store is logged as PLATFORM_BUSY (605), once until a read succeeds. Whether an instance watches the store for its zone still depends on reads that succeed.

--- a/src/magnoliaslip/core/events.py
+++ b/src/magnoliaslip/core/events.py
@@ -50,6 +50,7 @@
     HISTORY_LOST = (602, WARNING, "the platform dropped changes; a full list is read")
     STORE_WATCHED = (603, INFO, "the instance starts or stops watching the platform")
     STORE_RESTORED = (604, WARNING, "the store was restored from an older copy")
+    PLATFORM_BUSY = (605, WARNING, "the platform answers that it is busy")
     SERVER_COLD = (700, INFO, "a backend server is in slow start")
     SERVER_REFUSING = (701, WARNING, "a backend server refused or ignored a new flow")
     SERVER_ACCEPTING = (702, INFO, "a backend server accepts new flows again")
--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -55,18 +55,17 @@
 
     Attributes:
         calls: Number of calls to the store.
-        state_since: Unix time in seconds since which the store has been available, or
-            unavailable.
+        state_since: Unix time in seconds since which `store_answers` is unchanged.
     """
 
     __slots__ = (
         "_backoff",
         "_directory",
+        "_failing_since",
         "_on_change",
         "_rng",
+        "_store_answers",
         "_store_client",
-        "_store_down",
-        "_store_down_since",
         "_watches_store",
         "_watching",
         "calls",
@@ -88,25 +87,26 @@
         self._rng = rng
         self._watches_store = watches_store
         self._backoff = INITIAL_BACKOFF_S
-        self._store_down = False
-        self._store_down_since = 0.0
+        self._store_answers = True
+        self._failing_since: float | None = None
         self._watching = False
         self.calls = 0
         self.state_since = time()
 
     @property
-    def store_available(self) -> bool:
-        """Whether reads succeed; false from a failed one until the next success.
-
-        An answer that the store is busy, or an outdated list, counts as a failure.
-        """
-        return not self._store_down
+    def store_answers(self) -> bool:
+        """Whether the store answered the last read, even if only that it is busy."""
+        return self._store_answers
 
     @property
     def reads_store(self) -> bool:
-        """Whether this instance can watch the store for others."""
-        return not self._store_down or (
-            monotonic() - self._store_down_since < STORE_FAILURE_TOLERANCE_S
+        """Whether this instance can watch the store for others.
+
+        An answer that the store is busy, or an outdated list, counts as a failed read.
+        """
+        return (
+            self._failing_since is None
+            or monotonic() - self._failing_since < STORE_FAILURE_TOLERANCE_S
         )
 
     async def run(self) -> None:
@@ -180,8 +180,12 @@
 
     def _record_success(self) -> None:
         self._backoff = INITIAL_BACKOFF_S
-        if self._store_down:
-            self._store_down = False
+        self._failing_since = None
+        self._record_answer()
+
+    def _record_answer(self) -> None:
+        if not self._store_answers:
+            self._store_answers = True
             self.state_since = time()
             directory = self._directory
             log_event(
@@ -192,9 +196,15 @@
             )
 
     async def _back_off(self, exc: PlatformError) -> None:
-        if not self._store_down:
-            self._store_down = True
-            self._store_down_since = monotonic()
+        first = self._failing_since is None
+        if self._failing_since is None:
+            self._failing_since = monotonic()
+        if isinstance(exc, StoreBusyError):
+            self._record_answer()
+            if first:
+                log_event(logger, Event.PLATFORM_BUSY, error=exc)
+        elif self._store_answers:
+            self._store_answers = False
             self.state_since = time()
             log_event(logger, Event.PLATFORM_DOWN, error=exc)
         await sleep(self._backoff * self._rng.uniform(0.5, 1.0))
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -275,7 +275,7 @@
             changed_at=self._directory_changed_at,
             routes_version=directory.table.version if directory.table else 0,
             zones_out=sorted(directory.zones_out),
-            store_answers=self._reader.store_available,
+            store_answers=self._reader.store_answers,
             store_since=self._reader.state_since,
             watches_store=self._watches_store(),
             flows=len(self._forwarder.router.flows),
@@ -334,7 +334,7 @@
             "flows": len(router.flows),
             "ready": int(self._ready),
             "watches_store": int(self._watches_store()),
-            "store_answers": int(self._reader.store_available),
+            "store_answers": int(self._reader.store_answers),
         }
 
     async def _forward_packets(self) -> None:
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -176,3 +176,46 @@
     anyio.run(main)
     assert len(moments) <= 4
     assert all(b - a >= CHANGE_BATCH_DELAY_S for a, b in pairwise(moments))
+
+
+def answers_after(*results):
+    """Run a reader; return whether the store answered, and was readable, at the end."""
+    store_client, directory = ScriptedStoreClient(*results), Directory()
+    found = []
+
+    async def main():
+        store_client.done = anyio.Event()
+        reader = RegistryReader(
+            store_client, directory, on_change=lambda: None, rng=Random(1)
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(reader.run)
+            await store_client.done.wait()
+            await anyio.sleep(0)
+            found.append((reader.store_answers, reader._failing_since is None))
+            tasks.cancel_scope.cancel()
+
+    anyio.run(main)
+    return found[0]
+
+
+def test_busy_store_answers_but_cannot_be_read(caplog):
+    # Guards against a status and a metric that report a busy store as unavailable.
+    listed, busy = ChangeBatch(5, (add("i-1"),)), StoreBusyError("status 429")
+    assert answers_after(listed, busy) == (True, False)
+    assert "PLATFORM_BUSY" in caplog.text
+    assert "PLATFORM_DOWN" not in caplog.text
+    assert answers_after(listed, PlatformError("no answer"), busy) == (True, False)
+    assert answers_after(listed, busy, PlatformError("no answer")) == (False, False)
+    assert answers_after(listed, busy, ChangeBatch(6, ())) == (True, True)
+
+
+def test_store_that_is_busy_for_long_is_left_to_others(monkeypatch):
+    # An instance that gets only refusals does not watch the store for its zone.
+    monkeypatch.setattr("magnoliaslip.registry.reader.STORE_FAILURE_TOLERANCE_S", 0)
+    reader = RegistryReader(None, Directory(), on_change=print, rng=Random(1))
+    assert reader.reads_store
+    anyio.run(reader._back_off, StoreBusyError("status 503"))
+    assert reader.store_answers and not reader.reads_store
+    reader._record_success()
+    assert reader.reads_store
