Test that pauses do not count towards the deadline of rule 10

Cause: no test failed when the rule stopped excluding them. Result: the new test fails with exclude_pauses=False in ConfigInForce (tried), passes as it is.

--- a/tests/proof/test_checker.py
+++ b/tests/proof/test_checker.py
@@ -62,6 +62,27 @@
     )
 
 
+def test_paused_instance_gets_the_full_deadline_after_the_pause():
+    """Guards against a deadline of R10 that includes time without a processor."""
+
+    def pause(t, phase):
+        fields = {"fault": "pause", "target": "i1", "phase": phase}
+        return Record(t, "world", "fault", fields)
+
+    def own_config(record):
+        return (record.kind, record.who, record.get("version")) == ("config", "i1", 2)
+
+    def config(t):
+        return Record(t, "i1", "config", {"version": 2, "zones_out": ["b"]})
+
+    paused = pause(9, "begin"), pause(11, "end")
+    assert check_modified_sample(config(17.5), without=own_config).failed == ("R10",)
+    assert check_modified_sample(config(17.5), *paused, without=own_config).passed
+    assert check_modified_sample(config(18.5), *paused, without=own_config).failed == (
+        "R10",
+    )
+
+
 def test_pause_does_not_extend_the_deadline_for_a_zone_out():
     def pause(t, phase):
         fields = {"fault": "pause", "target": "i1", "phase": phase}
