Keep stream messages to a paused process apart from its datagrams

Cause: the simulated network counted messages of streams towards the 256 datagrams that wait at a paused process, so packets were lost for messages and messages, which TCP keeps, for packets. Change: only datagrams have that limit. Result: tests/proof/test_network.py: the new test failed before.

--- a/src/magnoliaslip/proof/network.py
+++ b/src/magnoliaslip/proof/network.py
@@ -60,14 +60,14 @@
         name: Unique name.
         zone: Availability zone; empty for callers and platform.
         process: The simulated process that handles deliveries, if it can be paused.
-        buffered_deliveries: Number of datagrams and stream messages that wait in the
-            socket buffer of the paused process.
+        buffered_datagrams: Number of datagrams that wait in the socket buffer of the
+            paused process. Messages of streams have buffers of their own.
     """
 
     name: str
     zone: str
     process: SimProcess | None = None
-    buffered_deliveries: int = 0
+    buffered_datagrams: int = 0
 
 
 class Network:
@@ -235,40 +235,59 @@
         if draw < 2 * quality.control_fault_rate:
             late = due + RETRANSMISSION_DELAY_S
             self.loop.call_at(
-                late, self._deliver, dst, receive, args, context=self._context
+                late, self._deliver_message, dst, receive, args, context=self._context
             )
         elif draw < 3 * quality.control_fault_rate:
             due += RETRANSMISSION_DELAY_S
         else:
             due = max(due, self._stream_due.get(pair, 0.0))
             self._stream_due[pair] = due
-        self.loop.call_at(due, self._deliver, dst, receive, args, context=self._context)
+        self.loop.call_at(
+            due, self._deliver_message, dst, receive, args, context=self._context
+        )
 
     def _deliver(self, dst: str, receive: Callable[..., None], args: tuple) -> None:
+        """Deliver a datagram; it is lost if the buffer of a paused process is full."""
+        node = self._running_node(dst)
+        if node is None or node.process is None or not node.process.paused:
+            self._deliver_to(node, receive, args)
+        elif node.buffered_datagrams >= SOCKET_BUFFER_DATAGRAMS:
+            self.lost["buffer"] += 1
+        else:
+            node.buffered_datagrams += 1
+            self._deliver_to(node, self._deliver_buffered, (node, receive, args))
+
+    def _deliver_message(
+        self, dst: str, receive: Callable[..., None], args: tuple
+    ) -> None:
+        """Deliver a message of a stream, whose flow control loses nothing."""
+        self._deliver_to(self._running_node(dst), receive, args)
+
+    def _running_node(self, dst: str) -> NetworkNode | None:
         node = self._nodes.get(dst)
-        if node is None:
+        if node is None or (node.process is not None and node.process.ended):
             self.lost["gone"] += 1
+            return None
+        return node
+
+    def _deliver_to(
+        self, node: NetworkNode | None, receive: Callable[..., None], args: tuple
+    ) -> None:
+        if node is None:
             return
         process = node.process
         if process is None:
             receive(*args)
-        elif process.ended:
-            self.lost["gone"] += 1
-        elif not process.paused:
-            process.context.run(receive, *args)
-        elif node.buffered_deliveries >= SOCKET_BUFFER_DATAGRAMS:
-            self.lost["buffer"] += 1
+        elif process.paused:
+            self.loop.call_soon(receive, *args, context=process.context)
         else:
-            node.buffered_deliveries += 1
-            self.loop.call_soon(
-                self._deliver_buffered, node, receive, args, context=process.context
-            )
+            process.context.run(receive, *args)
 
     @staticmethod
     def _deliver_buffered(
         node: NetworkNode, receive: Callable[..., None], args: tuple
     ) -> None:
-        node.buffered_deliveries -= 1
+        node.buffered_datagrams -= 1
         receive(*args)
 
     def _path(self, src: str, dst: str) -> tuple[float, LinkQuality] | None:
--- a/tests/proof/test_network.py
+++ b/tests/proof/test_network.py
@@ -85,6 +85,28 @@
     run_virtual(main)
 
 
+def test_messages_to_a_paused_process_wait_apart_from_its_datagrams():
+    # Guards against control messages that are lost for the load of the packet socket,
+    # and against packets that are lost for the number of messages.
+    async def main():
+        network = make_network()
+        network.set_quality(LinkQuality())
+        messages, datagrams = [], []
+        network.process_of("i2").pause()
+        for number in range(300):
+            network.send_stream("i1", "i2", messages.append, number)
+            network.send("i1", "i2", datagrams.append, number)
+        await sleep(1)
+        assert messages == datagrams == []
+        network.process_of("i2").resume()
+        await sleep(0)
+        assert datagrams == list(range(256))
+        assert messages == list(range(300))
+        assert network.lost["buffer"] == 44
+
+    run_virtual(main)
+
+
 def test_stream_keeps_order_and_a_stalled_one_loses_until_replaced():
     async def main():
         network = make_network()
