Let a restarted backend model accept new flows after its drain

Cause: the model kept its drain over a restart, although rule 8 of the checker ends it there, so a server that returned to its pool refused everything for ever. Result: tests/lab/test_backend_and_caller.py: both cases of the new test failed before.

--- a/src/magnoliaslip/lab/backend.py
+++ b/src/magnoliaslip/lab/backend.py
@@ -153,7 +153,6 @@
         self._unresponsive_flows: set[FlowKey] = set()
         self._deadlines: DeadlineQueue[_Timer] = DeadlineQueue()
         self._processing_time_factor = processing_time_factor
-        self._draining = False
         self._started_at = clock.monotonic()
         self._last_recorded_state: tuple[ServerState, int] | None = None
         self._initialize(cold=cold)
@@ -177,7 +176,10 @@
         return ServerState.COLD if self._slots.is_cold(now) else ServerState.WARM
 
     def restart(self, *, cold: bool = True) -> None:
-        """Discard all flows and requests without notifying the callers."""
+        """Discard all flows and requests without notifying the callers.
+
+        It is a new process, which does not know that its predecessor was draining.
+        """
         for key in self._flows:
             self._deadlines.set(_Timer("flow", key), None)
         for flow in self._flows.values():
@@ -189,7 +191,7 @@
         self._initialize(cold=cold)
 
     def drain(self) -> None:
-        """Refuse new flows, also after a restart; existing flows continue."""
+        """Refuse new flows until the next restart; existing flows continue."""
         self._draining = True
         self._record_state()
 
@@ -253,6 +255,7 @@
         # A server that starts warm represents one that has been running for long.
         self._started_at = now if cold else now - WARM_UPTIME_S
         self._slots.restart(cold_since=now if cold else None)
+        self._draining = False
         self._last_recorded_state = None
         self._record_state()
         self._deadlines.set(_REPORT_TIMER, now + HEALTH_REPORT_INTERVAL_S)
--- a/tests/lab/test_backend_and_caller.py
+++ b/tests/lab/test_backend_and_caller.py
@@ -131,6 +131,22 @@
     assert hosts.server.state is ServerState.STOPPED
 
 
+@pytest.mark.parametrize("cold", [True, False])
+def test_server_that_restarts_after_its_drain_accepts_new_flows(cold):
+    # Guards against a server that returns to its pool and refuses everything.
+    hosts = CallerAndServer()
+    hosts.server.drain()
+    hosts.caller.open_session("kit-desk", [ORDER])
+    assert hosts.run()["refused"] == 1
+    assert hosts.server.state is ServerState.STOPPED
+    hosts.server.restart(cold=cold)
+    assert hosts.server.state is (ServerState.COLD if cold else ServerState.WARM)
+    hosts.caller.open_session("kit-desk", [ORDER])
+    assert hosts.run()["answered"] == 1
+    states = [r["state"] for r in hosts.recorder.matching("server_state")]
+    assert "stopped" in states[:-1] and states[-1] in ("cold", "warm")
+
+
 def test_busy_server_sheds_and_idempotent_request_is_retried():
     """Guards against a shed request that counts as run or is never retried."""
     hosts = CallerAndServer(slot_cfg=SlotConfig(slots=1, queue=0))
