Keep signals from ending an instance between its last task and its exit

Cause: when the receiver of signals closes, asyncio restores their default effect. A SIGHUP, or a second SIGTERM, in the last 0.1 s of a planned stop ended the process with packets that it had received but not handled. Change: the signals are blocked when the receiver closes.

--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -5,7 +5,7 @@
 from logging import getLogger
 from os import PathLike
 from random import Random
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_BLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
 from socket import socket as Socket  # noqa: N812
 from typing import TYPE_CHECKING
 
@@ -357,11 +357,16 @@
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
             if self._stop_requested():
                 self._stop.set()
-            async for signal in signals:
-                if signal == SIGHUP:
-                    self._reload_settings()
-                else:
-                    self._stop.set()
+            try:
+                async for signal in signals:
+                    if signal == SIGHUP:
+                        self._reload_settings()
+                    else:
+                        self._stop.set()
+            finally:
+                # Without a receiver, each would end the process at once, with packets
+                # that it has not yet handled.
+                pthread_sigmask(SIG_BLOCK, (SIGTERM, SIGINT, SIGHUP))
 
     def _reload_settings(self) -> None:
         """Apply seeds and log level from the settings file.
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -6,6 +6,7 @@
 
 from contextlib import suppress
 from json import dumps, loads
+from os import kill
 from pathlib import Path
 from random import Random
 from signal import SIGHUP, SIGTERM
@@ -263,6 +264,29 @@
     run_steering_scenario(tmp_path, act)
 
 
+@pytest.mark.parametrize("signal", [SIGHUP, SIGTERM])
+def test_signals_until_the_end_of_a_planned_stop_change_nothing(tmp_path, signal):
+    # Guards against a signal that ends the process between its last task and its exit,
+    # with packets that it has received but not yet forwarded.
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        await wait_metrics(site)
+        process.send_signal(SIGTERM)
+        log = b""
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while STOPPED.encode() not in log:
+                log += await process.stdout.receive()
+            while process.returncode is None:
+                # Unlike this, send_signal() may take the exit status from asyncio.
+                with suppress(ProcessLookupError):
+                    kill(process.pid, signal)
+                await anyio.sleep(0.0005)
+        assert process.returncode == 0
+
+    run_steering_scenario(tmp_path, act)
+
+
 def test_stop_during_the_start_is_graceful(tmp_path):
     # Guards against a signal that is lost because the event loop is not running yet:
     # an instance answers readiness polls before that.
