Accept relays from instances only

Cause: with allowed_networks set, the relay socket took packets from every host of them, which are meant for operators' tools and for instances that are not listed yet.

--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -88,7 +88,7 @@
         )
 
         def handle_relay(payload: bytes, source: Address) -> None:
-            if membership.accepts_address(source.host):
+            if membership.accepts_relay(source.host):
                 node.path.handle_relay(payload)
             else:
                 metrics.counters["drop_not_a_member"] += 1
--- a/src/magnoliaslip/peering/grpc_link.py
+++ b/src/magnoliaslip/peering/grpc_link.py
@@ -332,6 +332,7 @@
             now = self._clock.monotonic()
             if now >= next_answer_at:
                 next_answer_at = now + MIN_ANSWER_INTERVAL_S
+                self._membership.record_stream(address[0])
                 await stream.send_message(PeerMessage())
 
     def _handle_message(self, msg: PeerMessage) -> None:
--- a/src/magnoliaslip/peering/membership.py
+++ b/src/magnoliaslip/peering/membership.py
@@ -90,6 +90,7 @@
         "_peers",
         "_seeds",
         "_state",
+        "_unlisted_hosts",
         "_view",
         "incarnation",
         "instance_id",
@@ -120,6 +121,9 @@
         # Former entries and the monotonic time until which they are accepted,
         # also those of instances whose entry on the list has changed.
         self._delisted: dict[InstanceEntry, float] = {}
+        # Addresses of instances that are not listed yet, and the monotonic time until
+        # which their relays are accepted.
+        self._unlisted_hosts: dict[str, float] = {}
         self._peers: dict[str, PeerRecord] = {}
         self._state = MemberState.JOINING
         self._view = GroupView(0)
@@ -341,15 +345,41 @@
         return entries
 
     def accepts_address(self, host: str) -> bool:
-        """Check whether an IP address may open control connections and send relays."""
+        """Check whether an IP address may open control connections."""
+        return self._is_member_host(host) or self._is_allowed_host(host)
+
+    def accepts_relay(self, host: str) -> bool:
+        """Check whether relays from an IP address are accepted.
+
+        It is that of a member, or of an instance on whose stream messages arrived; the
+        allowed networks alone don't make an operator's host a member.
+        """
+        until = self._unlisted_hosts.get(host, 0.0)
+        return until > self._clock.monotonic() or self._is_member_host(host)
+
+    def record_stream(self, host: str) -> None:
+        """Record that a message of an instance arrived from an accepted address."""
         now = self._clock.monotonic()
-        hosts = {entry.control.host for entry in self._listed.values()}
-        hosts.update(entry.control.host for entry in self._seeds.values())
-        hosts.update(
-            e.control.host for e, until in self._delisted.items() if until > now
+        if not self._is_member_host(host):
+            self._unlisted_hosts = {
+                each: until
+                for each, until in self._unlisted_hosts.items()
+                if until > now
+            }
+            self._unlisted_hosts[host] = now + DELISTED_ACCEPTANCE_S
+
+    def _is_member_host(self, host: str) -> bool:
+        now = self._clock.monotonic()
+        return (
+            any(entry.control.host == host for entry in self._listed.values())
+            or any(entry.control.host == host for entry in self._seeds.values())
+            or any(
+                entry.control.host == host and until > now
+                for entry, until in self._delisted.items()
+            )
         )
-        if host in hosts:
-            return True
+
+    def _is_allowed_host(self, host: str) -> bool:
         address = ip_address(host)
         return any(address in network for network in self._allowed_networks)
 
--- a/tests/peering/test_grpc_link.py
+++ b/tests/peering/test_grpc_link.py
@@ -1,6 +1,7 @@
 """Tests of the link over loopback sockets; waits end on events, not delays."""
 
 from contextlib import asynccontextmanager
+from ipaddress import ip_network
 from random import Random
 from socket import SOCK_STREAM, socket
 
@@ -144,6 +145,20 @@
     anyio.run(main)
 
 
+def test_relays_of_an_unlisted_instance_are_accepted_after_its_first_message():
+    # It is not on the list yet, and relays packets to their owners.
+    async def main():
+        async with two_endpoints(listed=()) as (first, second):
+            second.membership._allowed_networks = (ip_network("127.0.0.0/8"),)
+            assert not second.membership.accepts_relay("127.0.0.1")
+            msg = PeerMessage(heartbeat=Heartbeat(number=1))
+            await send_until(first.link, "i2", msg, lambda: second.received)
+            while not second.membership.accepts_relay("127.0.0.1"):
+                await anyio.sleep(0.01)
+
+    anyio.run(main)
+
+
 def test_stream_with_invalid_headers_is_rejected():
     # Guards against messages that are taken for those of an instance named "".
     async def main():
--- a/tests/peering/test_membership.py
+++ b/tests/peering/test_membership.py
@@ -120,3 +120,20 @@
     )
     assert allowing.accepts_address("10.1.2.3")
     assert not allowing.accepts_address("10.2.0.1")
+
+
+def test_relays_are_accepted_from_instances_only(clock):
+    # Guards against packets that an operator's host, or any other of an allowed
+    # network, sends to the relay socket.
+    membership = Membership(
+        "i1", "a", 1, clock=clock, allowed_networks=[ip_network("10.1.0.0/16")]
+    )
+    membership.apply_list([entry("i1"), entry("i2")], 2)
+    assert membership.accepts_relay("10.0.0.2")
+    assert not membership.accepts_relay("10.1.2.3")
+    membership.record_stream("10.1.2.3")
+    assert membership.accepts_relay("10.1.2.3")
+    assert not membership.accepts_relay("10.1.2.4")
+    clock.advance(601)
+    assert not membership.accepts_relay("10.1.2.3")
+    assert membership.accepts_relay("10.0.0.2")
