Read a response that changes the protocol as an error

Cause: httptools raises HttpParserUpgrade, which is none of its parser errors, for status 101 with Upgrade; it left the exchange, and the first read of the store ended the process (tried with a socket that answers so). Found by the new test of any response. Change: it is an HttpProtocolError. Result: tests/core/test_http_exchange.py: both tests failed before; the first read now logs PLATFORM_DOWN.

--- a/src/magnoliaslip/core/http_exchange.py
+++ b/src/magnoliaslip/core/http_exchange.py
@@ -4,7 +4,7 @@
 written in Python, and every start of an instance waits for its first response.
 """
 
-from httptools import HttpParserError, HttpResponseParser
+from httptools import HttpParserError, HttpParserUpgrade, HttpResponseParser
 
 from magnoliaslip.core.errors import PlatformError
 
@@ -80,6 +80,8 @@
             return True
         try:
             self._parser.feed_data(data)
+        except HttpParserUpgrade as exc:
+            raise HttpProtocolError("the response changes the protocol") from exc
         except HttpParserError as exc:
             if not self.complete:
                 raise HttpProtocolError(f"the response is not HTTP/1.1: {exc}") from exc
