--- a/conftest.py
+++ b/conftest.py
@@ -1,8 +1,17 @@
-"""Marks the tests listed in KNOWN-RED.txt as expected failures and reports them."""
+"""Settings of all tests; marks those of KNOWN-RED.txt as expected failures."""
 
 from pathlib import Path
 
 import pytest
+from hypothesis import settings
+
+# By default, examples are the same in each run. Others are tried by hand, with
+# --hypothesis-profile=long --hypothesis-seed=N.
+settings.register_profile("repeatable", derandomize=True)
+settings.register_profile(
+    "long", derandomize=False, max_examples=20_000, deadline=None, database=None
+)
+settings.load_profile("repeatable")
 
 KNOWN_RED = Path(__file__).with_name("KNOWN-RED.txt")
 
--- a/tests/config/test_http_platform.py
+++ b/tests/config/test_http_platform.py
@@ -129,7 +129,7 @@
     assert len(anyio.run(client.read, "zones").data) == MAX_BODY_BYTES
 
 
-@settings(derandomize=True, max_examples=150, deadline=None)
+@settings(max_examples=150, deadline=None)
 @given(
     head=st.sampled_from(
         [b"", b"HTTP/1.1 200 OK\r\n", response(200, b"{}"), response(304)]
--- a/tests/config/test_line_map.py
+++ b/tests/config/test_line_map.py
@@ -32,7 +32,7 @@
     assert LineMap(TEXT).line("absent") is None
 
 
-@settings(derandomize=True, max_examples=100, deadline=None)
+@settings(max_examples=100, deadline=None)
 @given(st.text(alphabet="{}[]:,\"'/*\\ \na1", max_size=40))
 def test_any_text_is_scanned(text):
     LineMap(text).line("a[0].a")
--- a/tests/config/test_settings.py
+++ b/tests/config/test_settings.py
@@ -71,7 +71,7 @@
         InstanceSettings.load(tmp_path / "absent.jsonc")
 
 
-@settings(derandomize=True, max_examples=100, deadline=None)
+@settings(max_examples=100, deadline=None)
 @given(
     cut=st.integers(0, len(VALID_SETTINGS)),
     text=st.text(alphabet='{}[]",:/*\\ \n1a', max_size=12),
--- a/tests/config/test_tables.py
+++ b/tests/config/test_tables.py
@@ -150,7 +150,7 @@
 )
 
 
-@settings(derandomize=True, max_examples=300, deadline=None)
+@settings(max_examples=300, deadline=None)
 @given(
     key=st.sampled_from(["index", "routes/0", "pools/0", "zones"]),
     data=st.binary(max_size=200) | json_values.map(encode),
--- a/tests/dataplane/test_path.py
+++ b/tests/dataplane/test_path.py
@@ -149,7 +149,7 @@
     assert fixture.metrics.counters["drop_not_a_member"] == 1
 
 
-@settings(max_examples=300, deadline=None, derandomize=True)
+@settings(max_examples=300, deadline=None)
 @given(binary(max_size=80))
 def test_no_datagram_raises(payload):
     """Guards against a malformed datagram that crashes the process."""
--- a/tests/packet/test_fuzz.py
+++ b/tests/packet/test_fuzz.py
@@ -16,7 +16,7 @@
 from magnoliaslip.packet.segment import Segment
 from magnoliaslip.packet.tunnel import Relay
 
-fuzzed = settings(derandomize=True, max_examples=500, deadline=None)
+fuzzed = settings(max_examples=500, deadline=None)
 keys = st.binary(min_size=12, max_size=12)
 segments = st.builds(
     Segment,
--- a/tests/peering/test_config_transfer.py
+++ b/tests/peering/test_config_transfer.py
@@ -101,7 +101,7 @@
         ReplyAssembly().add(ConfigPiece(transfer=1, pieces=10_000))
 
 
-@settings(deadline=None, derandomize=True)
+@settings(deadline=None)
 @given(st.binary(max_size=200), st.integers(0, 3), st.integers(0, 3))
 def test_damaged_replies_raise_only_peer_error(data, piece, pieces):
     assembly = ReplyAssembly()
@@ -112,7 +112,7 @@
         pass
 
 
-@settings(deadline=None, derandomize=True)
+@settings(deadline=None)
 @given(st.dictionaries(st.sampled_from(["index", "zones"]), st.binary(max_size=60)))
 def test_invalid_indexes_raise_only_peer_error(values):
     reply = ConfigReply()
--- a/tests/peering/test_instance_list.py
+++ b/tests/peering/test_instance_list.py
@@ -49,7 +49,7 @@
         InstanceList.parse(data)
 
 
-@settings(derandomize=True, max_examples=200, deadline=None)
+@settings(max_examples=200, deadline=None)
 @given(
     st.lists(st.dictionaries(st.sampled_from([*INSTANCE, "state"]), texts), max_size=3)
     .map(lambda instances: encode({"version": 1, "instances": instances}))
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,13 +1,17 @@
 """Guards against a store client that hangs, loses pages or decodes them wrongly."""
 
 from contextlib import asynccontextmanager
+from json import dumps
 from random import Random
 
 import anyio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from fleet_adapter.store import FleetStoreClient
+from fleet_adapter.store import ERA_HEADER, FleetStoreClient, _Listing
 from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.http_exchange import HttpClientResponse
 from magnoliaslip.core.http_server import HttpResponse, serve_http
 from magnoliaslip.lab.ports import PortPicker
 from magnoliaslip.registry.model import StorePosition
@@ -205,3 +209,38 @@
             await store_client.list()
 
     run(call_store, answer)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["items", "as_of", "has_more", "key", "value", "removed"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@given(
+    st.binary(max_size=80)
+    | JSON.map(lambda value: dumps(value).encode())
+    | JSON.map(lambda item: dumps({"items": [item], "as_of": 3}).encode()),
+    st.sampled_from([None, b"4"]) | st.binary(max_size=30),
+)
+def test_any_page_is_decoded_or_a_platform_error(body, era):
+    response = HttpClientResponse()
+    response.body += body
+    if era is not None:
+        response.headers[ERA_HEADER] = era
+    listing = _Listing()
+    try:
+        listing.add_page(response)
+    except PlatformError:
+        return
+    batch = listing.changes()
+    assert 0 <= batch.revision < 1 << 63 and 0 <= batch.era < 1 << 63
+    assert listing.target.isascii()
--- a/tests/registry/test_directory.py
+++ b/tests/registry/test_directory.py
@@ -8,6 +8,7 @@
 from msgspec.json import encode
 
 from magnoliaslip.core.errors import PeerError
+from magnoliaslip.gossip.digest import DIGEST_FORMAT, Digest, encode_digest
 from magnoliaslip.registry.directory import MAX_HISTORY_ENTRIES, Directory
 from magnoliaslip.registry.snapshot import decode_snapshot, encode_snapshot
 from magnoliaslip.registry.store_client import (
@@ -17,6 +18,7 @@
     UnreadableEntry,
     ZoneChange,
 )
+from magnoliaslip.steering.servers import ServerSet
 from tests.steering.harness import LAB_ENDPOINT, routes, server
 
 
@@ -235,3 +237,27 @@
     for value in values:
         with pytest.raises(PeerError):
             decode_snapshot(document(**{field: value}))
+
+
+NUMBERS = st.integers(-(2**65), 2**65) | st.floats(allow_nan=False)
+VALUES = NUMBERS | st.text(max_size=4) | st.none() | st.lists(NUMBERS, max_size=2)
+
+
+FIELDS = ("revision", "era", "version", "endpoint", "weight", "started_ms", "host")
+
+
+@given(st.dictionaries(st.sampled_from([*FIELDS, "port", "slots"]), VALUES, max_size=3))
+def test_any_values_are_rejected_or_can_be_used_and_passed_on(values):
+    try:
+        snapshot = decode_snapshot(document(**values))
+    except PeerError:
+        return
+    directory = Directory()
+    directory.replace(snapshot.batch)
+    servers = ServerSet(retention_s=60)
+    servers.apply(directory, 100.0)
+    position = directory.position
+    encode_digest(Digest(DIGEST_FORMAT, "a", 1, position.revision, era=position.era))
+    copy = Directory()
+    copy.replace(decode_snapshot(encode_snapshot(directory)).batch)
+    assert copy.servers == directory.servers
