Test a restart from a paused instance while the store is down

A server that left, a zone that was taken out and a route that was dropped while another instance was paused stay out of use at one that starts from both.

--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -9,7 +9,7 @@
 from os import kill
 from pathlib import Path
 from random import Random
-from signal import SIGHUP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
 from sys import executable
@@ -193,6 +193,47 @@
     run_steering_scenario(tmp_path, act)
 
 
+def test_restarted_instance_uses_nothing_that_was_withdrawn(tmp_path):
+    # Guards against a server that left, a zone that was taken out and a route that was
+    # dropped, all in use again after a restart while the store is down, as an instance
+    # that was paused meanwhile hands out its directory.
+    async def act(site):
+        site.left, site.out = udp("127.0.0.8"), udp("127.0.0.8")
+        site.store.put_routes(5, ROUTE, (ROUTE[0], 444))
+        site.store.put_server("i-6d", site.left.getsockname())
+        site.store.put_server("i-7e", site.out.getsockname(), zone="b")
+        seeds = [f"127.0.0.{n}:{site.ports['control']}" for n in (2, 4)]
+        paused = await site.start("127.0.0.4", seeds=seeds)
+        await site.start("127.0.0.2", seeds=seeds)
+        for host in ("127.0.0.4", "127.0.0.2"):
+            await site.wait_status(host, 200)
+        paused.send_signal(SIGSTOP)
+        site.store.put("op/evacuate/b", {})
+        site.store.remove("servers/i-6d")
+        site.store.put_routes(6, ROUTE)
+        await wait_reset(site, "127.0.0.2", 444)
+        site.store.up = False
+        paused.send_signal(SIGCONT)
+        await site.start("127.0.0.3", seeds=seeds)
+        await site.wait_status("127.0.0.3", 200)
+        with anyio.fail_after(3):
+            await wait_reset(site, "127.0.0.3", 444)
+        for sock in (site.left, site.out):
+            read_caller_ports(sock)
+        sent = set(range(41000, 41040))
+        for port in sent:
+            site.send("127.0.0.3", packet(port, SYN))
+        arrived = set()
+        with anyio.move_on_after(3):
+            while arrived != sent:
+                arrived |= read_caller_ports(site.server)
+                await anyio.sleep(0.01)
+        assert arrived == sent
+        assert not read_caller_ports(site.left) | read_caller_ports(site.out)
+
+    run_steering_scenario(tmp_path, act)
+
+
 async def wait_reset(site, host, dport):
     """Send SYNs until one is reset, as its route is no longer in force."""
     with anyio.fail_after(WAIT_TIMEOUT_S):
