--- a/src/magnoliaslip/instance/node.py
+++ b/src/magnoliaslip/instance/node.py
@@ -157,6 +157,11 @@
         """Start a graceful shutdown."""
         self._stop.set()
 
+    def record_stopped(self) -> None:
+        """Record the end of a graceful shutdown, after the last packet."""
+        self._recorder.record("state", state="stopped")
+        log_event(logger, Event.INSTANCE_STOPPED, id=self.cfg.id)
+
     def handle_datagram(self, payload: bytes) -> None:
         """Handle a datagram from the fabric, a backend server or a member."""
         if payload and payload[0] == GUE_RELAY_FIRST_BYTE:
@@ -186,8 +191,6 @@
         self.path.disable_cache()
         while not self.router.may_stop:
             await sleep(POLL_INTERVAL_S)
-        self._recorder.record("state", state="stopped")
-        log_event(logger, Event.INSTANCE_STOPPED, id=self.cfg.id)
 
     def _announce(self, state: MemberState) -> None:
         self.membership.set_state(state)
--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -19,8 +19,12 @@
 from magnoliaslip.core.metrics import Metrics
 from magnoliaslip.core.recorder import NullRecorder, Recorder
 from magnoliaslip.dataplane.udp_link import UdpPacketLink
-from magnoliaslip.dataplane.udp_reader import read_batches, read_datagrams_with_source
-from magnoliaslip.dataplane.udp_socket import open_udp
+from magnoliaslip.dataplane.udp_reader import (
+    read_batches,
+    read_datagrams_with_source,
+    receive_batch_with_source,
+)
+from magnoliaslip.dataplane.udp_socket import open_udp, receive_batch
 from magnoliaslip.instance.admin import AdminService
 from magnoliaslip.instance.health import HttpHealthSource
 from magnoliaslip.instance.node import InstanceNode
@@ -110,6 +114,13 @@
             )
             await node.run()
             tasks.cancel_scope.cancel()
+        # The tasks took time to end, and packets have arrived meanwhile.
+        while batch := receive_batch(data):
+            node.path.handle_batch(batch)
+        while relayed := receive_batch_with_source(relay):
+            for payload, source in relayed:
+                handle_relay(payload, source)
+        node.record_stopped()
 
 
 def _control_address_of(membership: Membership, peer: str) -> Address | None:
--- a/src/magnoliaslip/proof/sim_hosts.py
+++ b/src/magnoliaslip/proof/sim_hosts.py
@@ -185,6 +185,7 @@
         with CancelScope() as self._scope:
             if not self.process.ended:
                 await self.node.run()
+                self.node.record_stopped()
         if not self.process.ended:
             self.process.ended = True
             on_stopped(self)
