--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -5,7 +5,7 @@
 from logging import getLogger
 from os import PathLike
 from random import Random
-from signal import SIGHUP, SIGINT, SIGTERM
+from signal import SIG_BLOCK, SIGHUP, SIGINT, SIGTERM, pthread_sigmask
 from socket import socket as Socket  # noqa: N812
 from typing import TYPE_CHECKING
 
@@ -275,7 +275,7 @@
             changed_at=self._directory_changed_at,
             routes_version=directory.table.version if directory.table else 0,
             zones_out=sorted(self._forwarder.router.servers.zones_out),
-            store_answers=self._reader.store_available,
+            store_answers=self._reader.store_answers,
             store_since=self._reader.state_since,
             watches_store=self._watches_store(),
             flows=len(self._forwarder.router.flows),
@@ -334,7 +334,7 @@
             "flows": len(router.flows),
             "ready": int(self._ready),
             "watches_store": int(self._watches_store()),
-            "store_answers": int(self._reader.store_available),
+            "store_answers": int(self._reader.store_answers),
         }
 
     async def _forward_packets(self) -> None:
@@ -358,11 +358,16 @@
         with open_signal_receiver(SIGTERM, SIGINT, SIGHUP) as signals:
             if self._stop_requested():
                 self._stop.set()
-            async for signal in signals:
-                if signal == SIGHUP:
-                    self._reload_settings()
-                else:
-                    self._stop.set()
+            try:
+                async for signal in signals:
+                    if signal == SIGHUP:
+                        self._reload_settings()
+                    else:
+                        self._stop.set()
+            finally:
+                # Without a receiver, each would end the process at once, with packets
+                # that it has not yet handled.
+                pthread_sigmask(SIG_BLOCK, (SIGTERM, SIGINT, SIGHUP))
 
     def _reload_settings(self) -> None:
         """Apply seeds and log level from the settings file.
--- a/tests/lab/test_experiment.py
+++ b/tests/lab/test_experiment.py
@@ -15,7 +15,7 @@
 from magnoliaslip.lab.workload import WorkloadConfig
 from magnoliaslip.proof.facts import Facts
 from magnoliaslip.proof.history import History, HistoryRecorder
-from tests.lab.test_site import TIME_LIMIT_S, forwarder_command
+from tests.processes.test_site import TIME_LIMIT_S, forwarder_command
 
 EXAMPLES = Path(__file__).parents[2] / "examples" / "experiments"
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -1,13 +1,17 @@
 """Guards against a store client that hangs, loses pages or decodes them wrongly."""
 
 from contextlib import asynccontextmanager
+from json import dumps
 from random import Random
 
 import anyio
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
-from fleet_adapter.store import FleetStoreClient
+from fleet_adapter.store import ERA_HEADER, FleetStoreClient, _Listing
 from magnoliaslip.core.errors import PlatformError
+from magnoliaslip.core.http_exchange import HttpClientResponse
 from magnoliaslip.core.http_server import HttpResponse, serve_http
 from magnoliaslip.lab.ports import PortPicker
 from magnoliaslip.registry.model import StorePosition
@@ -113,7 +117,7 @@
     assert run(call_store, answer).position == StorePosition(0, 3)
 
 
-@pytest.mark.parametrize("era", ["", "x", "-1", "1.5"])
+@pytest.mark.parametrize("era", ["", "x", "-1", "1.5", "9" * 30, "9" * 5000])
 def test_era_that_is_no_number_is_a_platform_error(era):
     async def answer(req):
         return HttpResponse(200, b'{"items": [], "as_of": 3}', (("Store-Era", era),))
@@ -173,6 +177,9 @@
         b"{}",
         b'{"items": 5, "as_of": 1}',
         b'{"items": [], "as_of": "x"}',
+        b'{"items": [], "as_of": true}',
+        b'{"items": [], "as_of": -1}',
+        b'{"items": [], "as_of": 18446744073709551616}',
         b'{"items": [5], "as_of": 1}',
         b'{"items": [{"value": ""}], "as_of": 1}',
         b"[" * 100_000,
@@ -202,3 +209,38 @@
             await store_client.list()
 
     run(call_store, answer)
+
+
+JSON = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=6),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(
+            st.sampled_from(["items", "as_of", "has_more", "key", "value", "removed"]),
+            inner,
+            max_size=4,
+        )
+    ),
+    max_leaves=8,
+)
+
+
+@given(
+    st.binary(max_size=80)
+    | JSON.map(lambda value: dumps(value).encode())
+    | JSON.map(lambda item: dumps({"items": [item], "as_of": 3}).encode()),
+    st.sampled_from([None, b"4"]) | st.binary(max_size=30),
+)
+def test_any_page_is_decoded_or_a_platform_error(body, era):
+    response = HttpClientResponse()
+    response.body += body
+    if era is not None:
+        response.headers[ERA_HEADER] = era
+    listing = _Listing()
+    try:
+        listing.add_page(response)
+    except PlatformError:
+        return
+    batch = listing.changes()
+    assert 0 <= batch.revision < 1 << 63 and 0 <= batch.era < 1 << 63
+    assert listing.target.isascii()
--- a/tests/processes/test_steering.py
+++ b/tests/processes/test_steering.py
@@ -6,9 +6,10 @@
 
 from contextlib import suppress
 from json import dumps, loads
+from os import kill
 from pathlib import Path
 from random import Random
-from signal import SIGHUP, SIGTERM
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGTERM
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
 from sys import executable
@@ -192,6 +193,47 @@
     run_steering_scenario(tmp_path, act)
 
 
+def test_restarted_instance_uses_nothing_that_was_withdrawn(tmp_path):
+    # Guards against a server that left, a zone that was taken out and a route that was
+    # dropped, all in use again after a restart while the store is down, as an instance
+    # that was paused meanwhile hands out its directory.
+    async def act(site):
+        site.left, site.out = udp("127.0.0.8"), udp("127.0.0.8")
+        site.store.put_routes(5, ROUTE, (ROUTE[0], 444))
+        site.store.put_server("i-6d", site.left.getsockname())
+        site.store.put_server("i-7e", site.out.getsockname(), zone="b")
+        seeds = [f"127.0.0.{n}:{site.ports['control']}" for n in (2, 4)]
+        paused = await site.start("127.0.0.4", seeds=seeds)
+        await site.start("127.0.0.2", seeds=seeds)
+        for host in ("127.0.0.4", "127.0.0.2"):
+            await site.wait_status(host, 200)
+        paused.send_signal(SIGSTOP)
+        site.store.put("op/evacuate/b", {})
+        site.store.remove("servers/i-6d")
+        site.store.put_routes(6, ROUTE)
+        await wait_reset(site, "127.0.0.2", 444)
+        site.store.up = False
+        paused.send_signal(SIGCONT)
+        await site.start("127.0.0.3", seeds=seeds)
+        await site.wait_status("127.0.0.3", 200)
+        with anyio.fail_after(3):
+            await wait_reset(site, "127.0.0.3", 444)
+        for sock in (site.left, site.out):
+            read_caller_ports(sock)
+        sent = set(range(41000, 41040))
+        for port in sent:
+            site.send("127.0.0.3", packet(port, SYN))
+        arrived = set()
+        with anyio.move_on_after(3):
+            while arrived != sent:
+                arrived |= read_caller_ports(site.server)
+                await anyio.sleep(0.01)
+        assert arrived == sent
+        assert not read_caller_ports(site.left) | read_caller_ports(site.out)
+
+    run_steering_scenario(tmp_path, act)
+
+
 async def wait_reset(site, host, dport):
     """Send SYNs until one is reset, as its route is no longer in force."""
     with anyio.fail_after(WAIT_TIMEOUT_S):
@@ -263,6 +305,29 @@
     run_steering_scenario(tmp_path, act)
 
 
+@pytest.mark.parametrize("signal", [SIGHUP, SIGTERM])
+def test_signals_until_the_end_of_a_planned_stop_change_nothing(tmp_path, signal):
+    # Guards against a signal that ends the process between its last task and its exit,
+    # with packets that it has received but not yet forwarded.
+    async def act(site):
+        process = await site.start("127.0.0.2")
+        await site.wait_status("127.0.0.2", 200)
+        await wait_metrics(site)
+        process.send_signal(SIGTERM)
+        log = b""
+        with anyio.fail_after(WAIT_TIMEOUT_S):
+            while STOPPED.encode() not in log:
+                log += await process.stdout.receive()
+            while process.returncode is None:
+                # Unlike this, send_signal() may take the exit status from asyncio.
+                with suppress(ProcessLookupError):
+                    kill(process.pid, signal)
+                await anyio.sleep(0.0005)
+        assert process.returncode == 0
+
+    run_steering_scenario(tmp_path, act)
+
+
 def test_stop_during_the_start_is_graceful(tmp_path):
     # Guards against a signal that is lost because the event loop is not running yet:
     # an instance answers readiness polls before that.
