Withdraw exceptions that were handed on when they change or are removed

When the own copy is removed or gets another server, a removal that names the former server follows in the same log. The owner of the slice is left out. Test: test_member_withdraws_a_removed_exception_that_it_handed_on failed before the change.

--- a/src/magnoliaslip/placement/handover.py
+++ b/src/magnoliaslip/placement/handover.py
@@ -10,6 +10,7 @@
     PeerMessage,
 )
 from magnoliaslip.placement.exception_store import ApplyResult, ExceptionStore
+from magnoliaslip.placement.handed_on import HandedOnExceptions
 from magnoliaslip.placement.hashing import flow_hash
 from magnoliaslip.placement.records import QUARTERS_PER_SECOND, ROWS, FlowFlag
 from magnoliaslip.placement.replication import MAX_BATCH_OPERATIONS, LogOp, encode_ops
@@ -50,6 +51,7 @@
     __slots__ = (
         "_exceptions",
         "_former_owners",
+        "_handed_on",
         "_join_deadline",
         "_leave_deadline",
         "_leaving_since",
@@ -66,6 +68,7 @@
         self._state = state
         self._exceptions = exceptions
         self._former_owners: dict[int, tuple[str, float]] = {}
+        self._handed_on = HandedOnExceptions()
         self._resend_queue: dict[int, set[str]] = {}
         self._remove_at: dict[int, float] = {}
         self._next_request_at: dict[str, float] = {}
@@ -217,13 +220,16 @@
             )
             if applied is not ApplyResult.UNCHANGED:
                 self._queue_for_replicas(name, op.key)
-            changed |= applied is ApplyResult.CHANGED
+            if applied is ApplyResult.CHANGED:
+                changed = True
+                self._withdraw(name, op.key, now)
         return changed
 
     def tick(self, now: float) -> None:
         """Send queued exceptions at a limited rate, and remove expired replicas."""
         self._request_exceptions(now)
         state = self._state
+        deadline = now + REPLICA_RETENTION_S
         budget = max(1, int(state.cfg.bulk_rate_per_s * ROUTER_TICK_S))
         if state.leaving:
             budget *= LEAVING_RATE_FACTOR
@@ -237,6 +243,7 @@
                     log = state.logs.get(peer)
                     if log is not None:
                         log.add_exception(op.service, op.key, op.server)
+                        self._handed_on.add(op.key, peer, op.server, deadline)
                         budget -= 1
         self._resend_for_removed_owners(now)
         for code in [c for c, due_at in self._remove_at.items() if now >= due_at]:
@@ -292,6 +299,25 @@
         elif state.instance_id not in holders.replicas:
             self._remove_at[code] = state.now() + REPLICA_RETENTION_S
 
+    def _withdraw(self, service_name: str, key: bytes, now: float) -> None:
+        """Remove an exception that changed here at the members that got it from here.
+
+        The owner may not reach them yet, or its removal may have reached them before
+        the exception did. The owner of the slice itself decides without this instance.
+        """
+        state = self._state
+        service = state.service(service_name)
+        key_hash = flow_hash(key)
+        record = state.records.get(key, key_hash)
+        is_exception = record is not None and record.flags & FlowFlag.EXCEPTION
+        server = service.servers[record.server].name if is_exception else ""
+        owner = service.slices.owner(code_bucket(key_hash))
+        for peer, former in self._handed_on.take(key, server, now):
+            log = state.logs.get(peer)
+            if log is not None and peer != owner:
+                log.add_exception(service_name, key, former, removed=True)
+                log.flush(now, urgent=True)
+
     def _exception_ops(self, service: Service, code: int) -> list[LogOp]:
         return [
             LogOp(service.name, key=key, server=service.servers[record.server].name)
--- a/tests/placement/test_handover.py
+++ b/tests/placement/test_handover.py
@@ -296,3 +296,26 @@
     for key in moved:
         fleet.send_segment(key, via="i4")
         assert not fleet.was_reset(key)
+
+
+def test_member_withdraws_a_removed_exception_that_it_handed_on():
+    # Guards against an exception that stays at a member which returns after a
+    # partition: a replica hands it on before the owner has that member in its view.
+    fleet = Fleet(7)
+    key = flow(1)
+    service = fleet.nodes["i1"].router._state.services[0]
+    owner, replicas = service.slices.holders(bucket(key))
+    returning, replica, *_ = replicas
+    fleet.set_view(unreachable=[returning])
+    fleet.place_exception(key, via=owner)
+    fleet.set_view(at=[returning, replica])
+    fleet.run(0.1)
+    assert _holds(fleet, replica, key) and _holds(fleet, returning, key)
+    # The held SYN is stale by now, so its owner removes the placement.
+    fleet.run(2.0)
+    assert not _holds(fleet, owner, key) and not _holds(fleet, replica, key)
+    assert not _holds(fleet, returning, key)
+
+
+def _holds(fleet, name, key):
+    return fleet.nodes[name].router._state.records.get(key, flow_hash(key)) is not None
