Keep an unexpected error with one packet from ending an instance

Cause: the data path of instances with tunnels caught only errors of its decoders; any other one ended the task that reads the socket, and with it the process. Change: a boundary around the data and the relay socket counts it, logs at most one per second with its traceback, and goes on with the next packet.

--- a/src/magnoliaslip/instance/process.py
+++ b/src/magnoliaslip/instance/process.py
@@ -1,6 +1,8 @@
 """An instance as a process: sockets, signals and the control server."""
 
+from collections.abc import Callable, Iterable
 from contextlib import AsyncExitStack
+from functools import partial
 from logging import getLogger
 from os import _exit
 from random import SystemRandom
@@ -13,7 +15,8 @@
 from magnoliaslip.config.http_platform import HttpPlatform
 from magnoliaslip.config.settings import InstanceSettings
 from magnoliaslip.core.address import Address
-from magnoliaslip.core.clock import SystemClock
+from magnoliaslip.core.clock import Clock, SystemClock
+from magnoliaslip.core.error_text import error_text
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.core.history_file import FileRecorder
 from magnoliaslip.core.metrics import Metrics
@@ -32,10 +35,55 @@
 from magnoliaslip.peering.membership import Membership
 
 EXIT_INTERRUPTED = 130
+ERROR_LOG_INTERVAL_S = 1.0
 
 logger = getLogger(__name__)
 
 
+class ErrorBoundary:
+    """Keeps an unexpected error with one datagram from ending the process.
+
+    Each is counted, and at most one per second is logged with its traceback.
+
+    Args:
+        metrics: Counts the errors as ``unexpected_errors``.
+        clock: Source of time.
+    """
+
+    __slots__ = ("_clock", "_metrics", "_next_log_at")
+
+    def __init__(self, metrics: Metrics, *, clock: Clock) -> None:
+        self._metrics = metrics
+        self._clock = clock
+        self._next_log_at = float("-inf")
+
+    def handle_batch(
+        self, handle: Callable[[Iterable[bytes]], None], batch: Iterable[bytes]
+    ) -> None:
+        """Handle a batch; after an error, go on with the datagram that follows."""
+        datagrams = iter(batch)
+        while True:
+            try:
+                handle(datagrams)
+                return
+            except Exception:
+                self._record()
+
+    def handle_one(self, handle: Callable[[bytes], None], payload: bytes) -> None:
+        """Handle one datagram."""
+        try:
+            handle(payload)
+        except Exception:
+            self._record()
+
+    def _record(self) -> None:
+        self._metrics.counters["unexpected_errors"] += 1
+        now = self._clock.monotonic()
+        if now >= self._next_log_at:
+            self._next_log_at = now + ERROR_LOG_INTERVAL_S
+            log_event(logger, Event.UNEXPECTED_ERROR, error=error_text())
+
+
 async def run_instance(cfg: InstanceSettings) -> None:
     """Run an instance until SIGTERM or SIGINT has drained it.
 
@@ -91,9 +139,12 @@
             health_source=HttpHealthSource(),
         )
 
+        boundary = ErrorBoundary(metrics, clock=clock)
+        handle_batch = partial(boundary.handle_batch, node.path.handle_batch)
+
         def handle_relay(payload: bytes, source: Address) -> None:
             if membership.accepts_relay(source.host):
-                node.path.handle_relay(payload)
+                boundary.handle_one(node.path.handle_relay, payload)
             else:
                 metrics.counters["drop_not_a_member"] += 1
 
@@ -102,7 +153,7 @@
             tasks.start_soon(
                 peers.run, node.on_peer_message, [AdminService(node, clock=clock)]
             )
-            tasks.start_soon(read_batches, data, node.path.handle_batch)
+            tasks.start_soon(read_batches, data, handle_batch)
             tasks.start_soon(read_datagrams_with_source, relay, handle_relay)
             log_event(
                 logger,
@@ -116,7 +167,7 @@
             tasks.cancel_scope.cancel()
         # The tasks took time to end, and packets have arrived meanwhile.
         while batch := receive_batch(data):
-            node.path.handle_batch(batch)
+            handle_batch(batch)
         while relayed := receive_batch_with_source(relay):
             for payload, source in relayed:
                 handle_relay(payload, source)
