Set the log level that two tests need

Cause: the simulated world disables logging for the rest of its process, so test_busy_store_answers_but_cannot_be_read found no log line in a run of all tests with -n 2. Change: both tests that look for a line enable it; what they assert is unchanged.

--- a/tests/instance/test_process.py
+++ b/tests/instance/test_process.py
@@ -1,5 +1,6 @@
 """Guards against packets that an instance loses at its end."""
 
+from logging import WARNING
 from random import Random
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
@@ -29,6 +30,7 @@
     monkeypatch, caplog
 ):
     # Guards against a packet that ends the process, or costs those that follow it.
+    caplog.set_level(WARNING, "magnoliaslip.instance.process")  # others may change it
     picker = PortPicker(Random(2))
     handled, relayed = [], []
 
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -1,6 +1,7 @@
 """Guards against a reader that stops, reverts or misses changes."""
 
 from itertools import pairwise
+from logging import WARNING
 from random import Random
 
 import anyio
@@ -201,6 +202,7 @@
 
 def test_busy_store_answers_but_cannot_be_read(caplog):
     # Guards against a status and a metric that report a busy store as unavailable.
+    caplog.set_level(WARNING, "magnoliaslip.registry.reader")  # others may change it
     listed, busy = ChangeBatch(5, (add("i-1"),)), StoreBusyError("status 429")
     assert answers_after(listed, busy) == (True, False)
     assert "PLATFORM_BUSY" in caplog.text
