Split the choice of servers and the request rate from the router and the servers

Change: ServerChoice chooses the server of a new flow and knows the shares of this instance; RequestRate has a module of its own. No behaviour changes.

--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -347,8 +347,8 @@
             router.on_tick(self._clock.monotonic())
             # Includes instances that are not live: in a partition they keep running.
             members = self._gossip.members
-            router.instance_count = members.fleet_size
-            router.cold_share = self._gossip.cold_share()
+            router.server_choice.instance_count = members.fleet_size
+            router.server_choice.cold_share = self._gossip.cold_share()
             router.correction_time_s = (
                 0.0 if self._gossip.is_small_fleet() else CORRECTION_TIME_S
             )
--- a/src/magnoliaslip/runtime/status_builder.py
+++ b/src/magnoliaslip/runtime/status_builder.py
@@ -14,6 +14,7 @@
     SteeringServerStatus,
 )
 from magnoliaslip.steering.router import TagRouter
+from magnoliaslip.steering.server_choice import service_of
 from magnoliaslip.steering.servers import TrackedServer
 
 
@@ -91,7 +92,7 @@
             )
             explanation.steps.append(f"{reason}; other packets are dropped")
             return explanation
-        explanation.service = self._router.service_of(route, flow)
+        explanation.service = service_of(route, flow)
         explanation.steps.append(f"the route selects service {explanation.service}")
         explanation.servers = [
             status for status in self.servers() if status.service == explanation.service
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -1,15 +1,12 @@
 """Places new flows on backend servers and forwards tagged packets."""
 
 from collections import Counter, deque
-from collections.abc import Callable, Collection
+from collections.abc import Callable
 from math import inf
 from typing import Any
 
-from xxhash import xxh32_intdigest
-
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import Endpoint, ServiceRoute
-from magnoliaslip.steering.bounded_load_selector import BoundedLoadSelector
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.deferred_packet import DeferredPacket
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
@@ -18,6 +15,7 @@
 from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
 from magnoliaslip.steering.pending_syns import PendingSyns
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S, SYN_ANSWER_TIMEOUT_S
+from magnoliaslip.steering.server_choice import ServerChoice, service_of
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
 from magnoliaslip.steering.tags import flow_tag
 
@@ -64,15 +62,13 @@
         correction_time_s: Time in seconds that other instances have to correct the
             evidence against a server before its flows are reset; `CORRECTION_TIME_S`
             until the size of the fleet is known.
-        cold_share: Share of this instance in the rates that cold servers can handle; 0
-            until the size of the fleet is known.
-        instance_count: Instances that place flows, including this one.
         observe: Called with the name of a histogram and a duration in seconds.
         on_evidence: Called when a packet was not answered in time.
         before_judgement: Called before the evidence on servers is used.
         queued_packets: Packets that were in the receive queue at once, when the one
             that is handled now was read.
         flows: Entries of the flows that this instance forwards.
+        server_choice: Chooses the servers of new flows.
         servers: Servers that packets may be sent to.
     """
 
@@ -84,17 +80,15 @@
         "_link",
         "_pending_syns",
         "_queue_empty_at",
-        "_selector",
         "before_judgement",
-        "cold_share",
         "correction_time_s",
         "counters",
         "flows",
-        "instance_count",
         "log",
         "observe",
         "on_evidence",
         "queued_packets",
+        "server_choice",
         "servers",
         "zone",
     )
@@ -111,14 +105,11 @@
         self.zone = zone
         self._directory = directory
         self._link = link
-        self._selector = BoundedLoadSelector(zone)
         self.counters = counters
         self.log = log
         self.observe: Callable[[str, float], None] | None = None
         self.on_evidence: Callable[[], None] | None = None
         self.before_judgement: Callable[[], None] | None = None
-        self.cold_share = 0.0
-        self.instance_count = 1
         self.correction_time_s = CORRECTION_TIME_S
         self.queued_packets = 1
         self.flows = FlowTable()
@@ -129,6 +120,9 @@
         self._queue_empty_at = -inf
         self._deferred: deque[DeferredPacket] = deque()
         self._flow_tags = FlowTags()
+        self.server_choice = ServerChoice(
+            zone, directory=directory, servers=self.servers, flow_tags=self._flow_tags
+        )
         self._pending_syns = PendingSyns(self.flows)
 
     def apply_directory(self, now: float) -> None:
@@ -168,7 +162,7 @@
 
         Other unanswered SYNs of the caller are ignored.
         """
-        return self._choose(endpoint, service, flow, (), now)
+        return self.server_choice.choose(endpoint, service, flow, (), now)
 
     def on_backlog(self, now: float) -> None:
         """Record that more packets are waiting than are handled at a time.
@@ -205,19 +199,6 @@
                 self._log_suspect(tracked, flow, "unanswered open", now)
             self._notify_evidence()
 
-    @staticmethod
-    def service_of(route: ServiceRoute, flow: bytes) -> str:
-        """Return the service of a new flow; a retransmitted SYN gets the same one."""
-        targets = route.targets
-        if len(targets) == 1:
-            return targets[0].service
-        point = xxh32_intdigest(flow) / 2**32 * sum(t.weight for t in targets)
-        for target in targets:
-            point -= target.weight
-            if point < 0:
-                return target.service
-        return targets[-1].service
-
     def _handle_syn(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
     ) -> None:
@@ -242,9 +223,11 @@
             return
         elif entry.server is not None:
             entry.tried += (entry.server,)
-        service = self.service_of(route, packet.flow)
+        service = service_of(route, packet.flow)
         tried = entry.tried + self._pending_syns.tried(packet.caller)
-        tracked = self._choose(packet.endpoint, service, packet.flow, tried, now)
+        tracked = self.server_choice.choose(
+            packet.endpoint, service, packet.flow, tried, now
+        )
         entry.retransmission = packet.retransmission
         entry.last_seen_at = now
         entry.server = tracked
@@ -271,33 +254,6 @@
         self._pending_syns.add(now, packet.flow, packet.caller, tracked)
         self._send(tracked, packet, entry.tag)
 
-    def _choose(
-        self,
-        endpoint: Endpoint,
-        service: str,
-        flow: bytes,
-        tried: Collection[TrackedServer],
-        now: float,
-    ) -> TrackedServer | None:
-        """Choose the server of a new flow; its tag must identify it."""
-        candidates = self.servers.candidates(service)
-        near = self.servers.candidates(service, self.zone)
-        cold_opens_per_s = self._cold_opens_share_per_s(service)
-        while True:
-            tracked = self._selector.choose(
-                candidates,
-                flow,
-                now,
-                near=near,
-                tried=tried,
-                cold_opens_per_s=cold_opens_per_s,
-                instance_count=self.instance_count,
-            )
-            if tracked is None or self._flow_tags.identifies(endpoint, tracked):
-                return tracked
-            candidates = [other for other in candidates if other is not tracked]
-            near = [other for other in near if other is not tracked]
-
     def _forward(
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
     ) -> None:
@@ -418,17 +374,6 @@
             and entry.sent_at < self._backlog_since
         )
 
-    def _cold_opens_share_per_s(self, service: str) -> float | None:
-        """Return this instance's share of the rate that a cold server can handle.
-
-        None if no rate is stated.
-        """
-        table = self._directory.table
-        limits = table.services.get(service) if table else None
-        if limits is None or not limits.cold_opens_per_s:
-            return None
-        return limits.cold_opens_per_s * self.cold_share
-
     def _record_answer(self, tracked: TrackedServer, flow: bytes, now: float) -> None:
         if tracked.record_answer(now):
             self.log.record("SERVER_HEARD", flow, server=tracked.server.id)
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -1,7 +1,6 @@
 """Backend servers that an instance tracks, including recently removed ones."""
 
 from collections.abc import Collection, Iterator
-from math import exp
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import RegisteredServer
@@ -10,12 +9,11 @@
     UNREACHABLE_FLOWS_IN_PARTITION,
     Reachability,
 )
+from magnoliaslip.steering.request_rate import RequestRate
 from magnoliaslip.steering.server_group import ServerGroup
 from magnoliaslip.steering.tags import server_key, server_tag
 from magnoliaslip.steering.warmup import WarmUpBudget
 
-# Time constant of the request rate in seconds: about one feed request per user.
-RATE_TIME_CONSTANT_S = 1.0
 # Suspicions reported by other instances are about this old, in seconds; an answer that
 # this instance observed within this time outweighs them.
 PEER_REPORT_AGE_S = 0.5
@@ -34,25 +32,6 @@
 Incarnation = tuple[str, int]  # identifier, start in Unix milliseconds
 
 
-class RequestRate:
-    """Exponentially decaying rate of requests."""
-
-    __slots__ = ("_updated_at", "_value")
-
-    def __init__(self) -> None:
-        self._value = 0.0
-        self._updated_at = 0.0
-
-    def add(self, now: float) -> None:
-        """Count one request."""
-        self._value = self.per_s(now) + 1.0 / RATE_TIME_CONSTANT_S
-        self._updated_at = now
-
-    def per_s(self, now: float) -> float:
-        """Return requests per second."""
-        return self._value * exp((self._updated_at - now) / RATE_TIME_CONSTANT_S)
-
-
 class TrackedServer:
     """One incarnation of a backend server and what this instance observed of it.
 
@@ -447,10 +426,9 @@
             self._by_tag.setdefault(tracked.tag, tracked)
         else:
             tracked.server = server
-            if server.started_ms:
-                tracked.draining |= server.draining
-            else:
-                tracked.draining = server.draining
+            # Without a start time, it may be another incarnation.
+            drained = tracked.draining and server.started_ms > 0
+            tracked.draining = drained or server.draining
             tracked.group = group
             tracked.cold_until = cold_until
         tracked.registered = True
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -85,7 +85,7 @@
     with Socket(AF_INET, SOCK_DGRAM) as sock:
         sock.bind(("127.0.0.1", 0))
         assert forwarder(sock).router.correction_time_s == CORRECTION_TIME_S
-        assert forwarder(sock).router.cold_share == 0.0
+        assert forwarder(sock).router.server_choice.cold_share == 0.0
 
 
 def test_router_knows_how_many_packets_waited_together():
--- a/tests/steering/harness.py
+++ b/tests/steering/harness.py
@@ -92,7 +92,7 @@
             log=self.log,
         )
         self.router.correction_time_s = 0.0  # as in a small fleet
-        self.router.cold_share = 1.0  # as without others
+        self.router.server_choice.cold_share = 1.0  # as without others
         self.publish(RoutesChange(table or routes()))
         self.publish(*(ServerChange(s.id, s) for s in servers))
 
--- a/tests/steering/test_bounded_load_selector.py
+++ b/tests/steering/test_bounded_load_selector.py
@@ -59,21 +59,21 @@
 
 def test_cold_servers_alone_are_limited_over_all_instances():
     harness = Harness(server("i-1", cold_ms=60_000), table=cold_table(10.0))
-    harness.router.cold_share = 1 / 5
+    harness.router.server_choice.cold_share = 1 / 5
     # A fifth of 10 flows per second, for 10 seconds.
     assert open_flows(harness, 1000, step_s=0.01)["i-1"] in range(18, 22)
 
 
 def test_instance_that_does_not_know_its_fleet_yet_has_no_share_of_a_cold_server():
     harness = Harness(server("i-1", cold_ms=60_000), table=cold_table(10.0))
-    harness.router.cold_share = 0.0
+    harness.router.server_choice.cold_share = 0.0
     assert open_flows(harness, 1000, step_s=0.01)["i-1"] == 0
 
 
 def test_cold_servers_alone_without_a_limit_get_all_flows():
     for share in (0.0, 1.0):
         harness = Harness(server("i-1", cold_ms=60_000))
-        harness.router.cold_share = share
+        harness.router.server_choice.cold_share = share
         assert open_flows(harness, 20) == {"i-1": 20}
 
 
