Send deferred packets also when a digest causes an unexpected error

Cause, by reading: digests are now read before deferred packets are judged, so an unexpected error with one of them would have held the packets back, and again with the next batch. Change: such an error is logged, and the packets are judged by what is known. Result: test_unexpected_error_with_a_digest_does_not_hold_back_packets failed before.

--- a/src/magnoliaslip/gossip/exchange.py
+++ b/src/magnoliaslip/gossip/exchange.py
@@ -11,6 +11,7 @@
 
 from magnoliaslip.core.address import Address
 from magnoliaslip.core.clock import Clock
+from magnoliaslip.core.error_text import error_text
 from magnoliaslip.core.errors import PeerError
 from magnoliaslip.core.events import Event, log_event
 from magnoliaslip.dataplane.udp_reader import (
@@ -222,11 +223,16 @@
 
         Receives the digests that have already arrived, one batch at most: after a pause
         of this instance, corrections of its evidence may be among them. Evidence that
-        is no longer fresh is removed.
+        is no longer fresh is removed. An unexpected error is logged, as the packets of
+        callers wait for the result.
         """
-        for data, source in receive_batch_with_source(self._sock):
-            self.receive_datagram(data, source)
-        self._evidence.apply(self._clock.monotonic())
+        try:
+            for data, source in receive_batch_with_source(self._sock):
+                self.receive_datagram(data, source)
+            self._evidence.apply(self._clock.monotonic())
+        except Exception:
+            task = "GossipExchange.update_evidence"
+            log_event(logger, Event.UNEXPECTED_ERROR, task=task, error=error_text())
 
     def receive_datagram(self, data: bytes, source: Address) -> None:
         """Decode a datagram and apply the digest that it contains."""
--- a/tests/gossip/test_late_instance.py
+++ b/tests/gossip/test_late_instance.py
@@ -99,6 +99,18 @@
     assert instance.exchange.is_small_fleet()
 
 
+def test_unexpected_error_with_a_digest_does_not_hold_back_packets(monkeypatch):
+    def fail(self, data, source):
+        raise OverflowError("int too big to convert")
+
+    monkeypatch.setattr(GossipExchange, "receive_datagram", fail)
+    instance = late_instance()
+    instance.sock.waiting.append(instance.answered())
+    request(instance.harness, b"first", "i-1")
+    instance.advance(0.2)
+    assert request(instance.harness, b"first", "i-1") == ["i-1"]
+
+
 def test_evidence_of_others_without_a_correction_resets():
     instance = late_instance()
     instance.leave_one_flow_unanswered()
