Report a restored store only if the era before was stated

Cause, shown by the review: the first read of a store that states its era was logged as a restore when the directory came from an instance of the version before. Change: the line needs an era before. Nothing else depends on it. Result: test_first_era_that_is_stated_is_not_reported_as_a_restore; it failed before.

--- a/src/magnoliaslip/registry/reader.py
+++ b/src/magnoliaslip/registry/reader.py
@@ -136,7 +136,7 @@
                 f"the store listed {_position_text(batch.position)}, older than "
                 f"{_position_text(former)} of the directory"
             )
-        if former.revision and batch.era > former.era:
+        if former.era and batch.era > former.era:  # era 0 is not stated
             log_event(
                 logger,
                 Event.STORE_RESTORED,
--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -175,6 +175,17 @@
     assert "former_era=1 former_revision=47 era=2 revision=22" in line
 
 
+def test_first_era_that_is_stated_is_not_reported_as_a_restore(caplog):
+    # The directory may come from an instance that states no era.
+    caplog.set_level("INFO")
+    read(
+        ChangeBatch(47, (add("i-1"),)),
+        HistoryLostError("gone"),
+        ChangeBatch(48, (add("i-2"),), era=1),
+    )
+    assert not [text for text in caplog.messages if "STORE_RESTORED" in text]
+
+
 def test_list_of_an_earlier_era_is_not_applied():
     directory, _ = read(
         ChangeBatch(5, (add("i-1"),), era=2),
