--- a/tests/registry/test_reader.py
+++ b/tests/registry/test_reader.py
@@ -65,6 +65,21 @@
     return directory, store_client.calls
 
 
+def watch_for_a_second(directory, watch):
+    """Run a reader for one second with a function in place of the store's watch."""
+
+    async def main():
+        store_client = ScriptedStoreClient()
+        store_client.watch = watch
+        reader = RegistryReader(
+            store_client, directory, on_change=lambda: None, rng=Random(1)
+        )
+        with anyio.move_on_after(1.0):
+            await reader.run()
+
+    anyio.run(main)
+
+
 def add(name):
     return ServerChange(name, server(name))
 
@@ -137,7 +152,7 @@
 def test_answer_to_a_watch_from_before_a_new_era_is_not_applied():
     # Guards against changes that are missed for good: the answer has those after the
     # revision of the former era, while another instance has passed on a lower one.
-    store_client, directory = ScriptedStoreClient(), Directory()
+    directory = Directory()
     directory.replace(ChangeBatch(47, (add("i-1"),), era=1))
     calls = []
 
@@ -151,15 +166,7 @@
             return ChangeBatch(48, changes, era=2)
         await anyio.sleep_forever()
 
-    async def main():
-        store_client.watch = watch
-        reader = RegistryReader(
-            store_client, directory, on_change=lambda: None, rng=Random(1)
-        )
-        with anyio.move_on_after(1.0):
-            await reader.run()
-
-    anyio.run(main)
+    watch_for_a_second(directory, watch)
     assert calls == [47, 44, 48]
     assert set(directory.servers) == {"i-2", "i-3"}
 
@@ -199,7 +206,7 @@
 def test_answers_of_an_earlier_era_are_failed_reads(caplog):
     # Guards against watches in a row without a pause, and without a log line.
     caplog.set_level("INFO")
-    store_client, directory = ScriptedStoreClient(), Directory()
+    directory = Directory()
     directory.replace(ChangeBatch(20, (add("i-1"),), era=9))
     calls = []
 
@@ -207,15 +214,7 @@
         calls.append(after)
         return ChangeBatch(40, (add("i-2"),), era=2)
 
-    async def main():
-        store_client.watch = watch
-        reader = RegistryReader(
-            store_client, directory, on_change=lambda: None, rng=Random(1)
-        )
-        with anyio.move_on_after(1.0):
-            await reader.run()
-
-    anyio.run(main)
+    watch_for_a_second(directory, watch)
     assert len(calls) < 12
     assert any("PLATFORM_BUSY" in text for text in caplog.messages)
     assert set(directory.servers) == {"i-1"}
@@ -223,7 +222,7 @@
 
 def test_changes_in_a_burst_are_read_together():
     # Guards against one call to the store per server when many are replaced together.
-    store_client, directory = ScriptedStoreClient(), Directory()
+    directory = Directory()
     directory.apply(ChangeBatch(1, (add("i-0"),)))
     moments = []
 
@@ -232,15 +231,7 @@
         await anyio.sleep(0.01)
         return ChangeBatch(after + 1, (add(f"i-{after}"),))
 
-    async def main():
-        store_client.watch = watch
-        reader = RegistryReader(
-            store_client, directory, on_change=lambda: None, rng=Random(1)
-        )
-        with anyio.move_on_after(1.0):
-            await reader.run()
-
-    anyio.run(main)
+    watch_for_a_second(directory, watch)
     assert len(moments) <= 4
     assert all(b - a >= CHANGE_BATCH_DELAY_S for a, b in pairwise(moments))
 
