--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -258,8 +258,7 @@
         self._generation = -1
         self._era = 0
         self.zones_out: set[str] = set()
-        # Zones that were out of service before the store was restored, but not
-        # after it, and the monotonic times in seconds until which they still are.
+        # Until when zones that were out before a restore still are (monotonic s).
         self._zones_out_until: dict[str, float] = {}
         self._removed: dict[Incarnation, TrackedServer] = {}
         # Whether the candidates depend on the time: they include removed servers, or
