Share the power loss of a simulated fleet, and say what a server choice leaves out

Two tests stopped and started a whole fleet with the same lines; the summary of ServerChoice and a comment on zones were hard to read. Change: LargeFleet.lose_power; both texts reworded. No behaviour and no check changes.

--- a/src/magnoliaslip/steering/server_choice.py
+++ b/src/magnoliaslip/steering/server_choice.py
@@ -25,7 +25,9 @@
 
 
 class ServerChoice:
-    """Chooses the server of a new flow among those that its tag identifies.
+    """Chooses the server of a new flow, only one that its own tag identifies.
+
+    Two servers may have the same tag for an endpoint; only one of them then gets flows.
 
     Args:
         zone: Availability zone of this instance.
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -258,7 +258,7 @@
         self._generation = -1
         self._era = 0
         self.zones_out: set[str] = set()
-        # Until when zones that were out before a restore still are (monotonic s).
+        # Zones that were out before a restore, and the monotonic time of their return.
         self._zones_out_until: dict[str, float] = {}
         self._removed: dict[Incarnation, TrackedServer] = {}
         # Whether the candidates depend on the time: they include removed servers, or
--- a/tests/gossip/fleet.py
+++ b/tests/gossip/fleet.py
@@ -153,6 +153,15 @@
         self._next_period[host] = self.clock.monotonic() + jitter
         return node
 
+    def lose_power(self, seconds):
+        """Stop all instances, and start them together after some seconds."""
+        hosts = {host: node.zone for host, node in self.nodes.items()}
+        self.off |= set(hosts)
+        self.run(seconds)
+        for host, zone in hosts.items():
+            self.start(host, zone)
+        self.reset_counts()
+
     def reset_counts(self):
         self.sent = dict.fromkeys(self.nodes, 0)
         self.received = dict.fromkeys(self.nodes, 0)
--- a/tests/gossip/test_fleet.py
+++ b/tests/gossip/test_fleet.py
@@ -141,16 +141,11 @@
 
 def test_all_lose_power_at_once_and_return():
     fleet = settled(*SIX_ZONES)
-    hosts = {host: node.zone for host, node in fleet.nodes.items()}
-    fleet.off |= set(hosts)
-    fleet.run(1.5)
-    for host, zone in hosts.items():
-        fleet.start(host, zone)
-    fleet.reset_counts()
+    fleet.lose_power(1.5)
     seconds = fleet.run(8.0, until=lambda: all_know_their_zones(fleet))
     assert seconds is not None and seconds < 5.0
     # A restart of all is no storm: a seed gets a few digests of each.
-    assert max(fleet.received.values()) < 20 * len(hosts)
+    assert max(fleet.received.values()) < 20 * len(fleet.nodes)
 
 
 def test_zone_that_is_cut_off_keeps_its_beliefs_and_returns():
--- a/tests/gossip/test_fleet_bounds.py
+++ b/tests/gossip/test_fleet_bounds.py
@@ -57,15 +57,10 @@
 
 def test_all_lose_power_at_once():
     fleet = settled()
-    hosts = {host: node.zone for host, node in fleet.nodes.items()}
-    fleet.off |= set(hosts)
-    fleet.run(1.5)
-    for host, zone in hosts.items():
-        fleet.start(host, zone)
-    fleet.reset_counts()
+    fleet.lose_power(1.5)
     seconds = fleet.run(4.0, until=lambda: all_know_their_zones(fleet))
     assert seconds is not None
-    check_bounds(fleet, seconds, additional=DIGESTS_AT_SEED * len(hosts))
+    check_bounds(fleet, seconds, additional=DIGESTS_AT_SEED * len(fleet.nodes))
 
 
 def test_zone_is_cut_off_and_returns():
