--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,8 +1,9 @@
-"""Another writer writes a backend's entry without `sequence`, for another service."""
+"""An instance freezes for 3.9 s; flows that opened meanwhile are then misdirected."""
 
 import asyncio
 import sys
 from pathlib import Path
+from signal import SIGCONT, SIGSTOP
 from time import monotonic
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "standins"))
@@ -10,68 +11,65 @@
 from fleet import Client, Fleet, configuration, route, run_case
 
 ORDERS = ("127.0.5.1", 8080)
-PHOTOS = ("127.0.5.2", 8443)
+FREEZE_S = 3.9
+FLOWS = 60
+PAUSE_S = 9.0
 ZONES = {"maikuduk": 2, "yugo-vostok": 2, "prishakhtinsk": 2, "tsentr": 1}
-REQUESTS_PER_S = 40
+BACKENDS = {"maikuduk": 2, "yugo-vostok": 2, "prishakhtinsk": 2, "tsentr": 1}
 
 
-async def send(client: Client, kind: str, number: int) -> None:
-    """Send one request on a flow of its own, and try again if it never opened."""
-    endpoint = ORDERS if kind == "order" else PHOTOS
+async def place_orders(client: Client, number: int, lost: list[str]) -> None:
+    """Open a flow, send an order, and after a pause another one on the same flow.
+
+    The client repeats an order only if the flow never opened: the kind is
+    `non_idempotent`.
+    """
     for attempt in range(3):
-        flow = client.flow(endpoint)
-        if await flow.open():
-            await flow.request(f"{kind}-{number}-{attempt}".encode())
-            await flow.close()
+        flow = client.flow(ORDERS)
+        if not await flow.open():
+            continue
+        first = f"order-{number}-{attempt}-first".encode()
+        if await flow.request(first) is None:
             return
+        await asyncio.sleep(PAUSE_S)
+        second = f"order-{number}-{attempt}-second".encode()
+        if await flow.request(second) is None:
+            lost.append(second.decode())
+            client.fleet.note(f"{second.decode()} is never answered")
+        return
 
 
 async def case(trouble: bool) -> int:
     """Run the case; returns the exit code."""
-    config = configuration(
-        [
-            route(*ORDERS, "kit-desk", "non_idempotent"),
-            route(*PHOTOS, "spawn-lab", "upload"),
-        ]
-    )
+    config = configuration([route(*ORDERS, "kit-desk", "non_idempotent")])
     record = Path(__file__).with_name("record.txt")
     async with Fleet(ZONES, config, record) as fleet:
-        for zone in ZONES:
-            fleet.add_backend("kit-desk", zone)
-            fleet.add_backend("kit-desk", zone)
-            fleet.add_backend("spawn-lab", zone)
-        clients = [Client(fleet, n + 1, zone) for n, zone in enumerate(ZONES)]
+        for zone, count in BACKENDS.items():
+            for _ in range(count):
+                fleet.add_backend("kit-desk", zone)
+        client = Client(fleet, 1, "maikuduk")
         await fleet.start()
-        tasks: set[asyncio.Task[None]] = set()
-        begun, number, written = monotonic(), 0, False
-        while (now := monotonic()) < begun + 10.0:
-            if trouble and not written and now > begun + 5.0:
-                written = True
-                lab = next(b for b in fleet.backends if b.service == "spawn-lab")
-                entry = {
-                    "service": "kit-desk",
-                    "address": f"{lab.host}:{lab.port}",
-                    "zone": lab.zone,
-                    "version": "v1",
-                    "slots": 4,
-                    "state": "ready",
-                    "warmup_remaining_ms": 0,
-                }
-                fleet.store.put(f"servers/{lab.name}", entry)
-                fleet.note(f"another writer writes servers/{lab.name}: {entry}")
-            while number < (now - begun) * REQUESTS_PER_S:
-                number += 1
-                client = clients[number % len(clients)]
-                kind = "photo" if number % 4 == 0 else "order"
-                tasks.add(asyncio.create_task(send(client, kind, number)))
-            await asyncio.sleep(0.005)
+        frozen = fleet.instances[0]
+        lost: list[str] = []
+        tasks = []
+        if trouble:
+            frozen.signal(SIGSTOP)
+            fleet.note(f"{frozen.name} is frozen")
+        begun = monotonic()
+        for number in range(FLOWS):
+            tasks.append(asyncio.create_task(place_orders(client, number, lost)))
+            await asyncio.sleep(0.03)
+        await asyncio.sleep(max(0.0, begun + FREEZE_S - monotonic()))
+        if trouble:
+            frozen.signal(SIGCONT)
+            fleet.note(f"{frozen.name} goes on")
         await asyncio.gather(*tasks)
-        for backend, request in fleet.ran:
-            kind = "kit-desk" if request.startswith(b"order") else "spawn-lab"
-            if backend.service != kind:
-                text = f"{request.decode()} is run by {backend.name} of"
-                fleet.break_rule(f"ROUTE: {text} {backend.service}")
-        fleet.note(f"{number} requests, {len(fleet.broken)} run by the wrong service")
+        for _, flow, text in fleet.foreign_resets():
+            fleet.break_rule(f"FLOW: port {flow.port} got a reset of {text}")
+        fleet.note(
+            f"{FLOWS} flows, {len(lost)} orders never answered, "
+            f"{len(fleet.broken)} open flows reset by others"
+        )
         print(fleet.lines[-1])
         return 1 if fleet.broken else 0
 
--- a/review/standins/fleet.py
+++ b/review/standins/fleet.py
@@ -36,6 +36,7 @@
 COPY_DELAYS_S = (0.2, 0.4, 0.8, 1.6, 1.6, 1.6)
 HEARTBEAT_S = 1.2
 COLD_S = 2.0
+HISTORY_S = 20.0
 CONTACT_S = 4.0
 RESTART_DELAY_S = 0.2
 TIME_LIMIT_S = 110.0
@@ -121,7 +122,10 @@
     def __init__(self) -> None:
         self.revision = 0
         self.items: dict[str, dict[str, Any]] = {}
-        self.history: list[dict[str, Any]] = []
+        # The time, revision, key and encoded event of each change, oldest first.
+        self.history: deque[tuple[float, int, str, bytes]] = deque()
+        # Revision of the last change that is no longer in the history.
+        self._forgotten = 0
         # The entries of backends as last written, without `sequence`.
         self._entries: dict[str, dict[str, Any]] = {}
         self._changed = asyncio.Event()
@@ -169,7 +173,11 @@
             self._add({"key": key, "revision": self.revision, "removed": True})
 
     def _add(self, event: dict[str, Any]) -> None:
-        self.history.append(event)
+        now = monotonic()
+        encoded = dumps(event).encode()
+        self.history.append((now, event["revision"], event["key"], encoded))
+        while self.history[0][0] < now - HISTORY_S:
+            self._forgotten = self.history.popleft()[1]
         self._changed.set()
         self._changed = asyncio.Event()
 
@@ -192,8 +200,7 @@
         head = await reader.readuntil(b"\r\n\r\n")
         url = urlsplit(head.split(b" ")[1].decode())
         query = {key: each[0] for key, each in parse_qs(url.query).items()}
-        status, body = await self._answer(url.path, query)
-        data = dumps(body).encode()
+        status, data = await self._answer(url.path, query)
         writer.write(
             f"HTTP/1.1 {status} X\r\nContent-Type: application/json\r\n"
             f"Content-Length: {len(data)}\r\nConnection: close\r\n\r\n".encode()
@@ -201,27 +208,30 @@
         )
         await writer.drain()
 
-    async def _answer(self, path: str, query: dict[str, str]) -> tuple[int, Any]:
+    async def _answer(self, path: str, query: dict[str, str]) -> tuple[int, bytes]:
         prefix = query.get("prefix", "")
         if path == "/v1/kv-range":
             keys = sorted(k for k in self.items if k.startswith(prefix))
             keys = [key for key in keys if key > query.get("after", "")]
             page = [self.items[key] for key in keys[:500]]
-            more = len(keys) > 500
-            return 200, {"items": page, "has_more": more, "as_of": self.revision}
+            body = {"items": page, "has_more": len(keys) > 500, "as_of": self.revision}
+            return 200, dumps(body).encode()
         if path == "/v1/kv-watch":
             after, end = int(query["after"]), monotonic() + int(query["wait_ms"]) / 1000
             while True:
+                if after < self._forgotten:
+                    return 410, b"{}"
                 events = [
-                    event
-                    for event in self.history[after:]
-                    if event["revision"] > after and event["key"].startswith(prefix)
+                    encoded
+                    for _, revision, key, encoded in self.history
+                    if revision > after and key.startswith(prefix)
                 ]
                 if events or monotonic() >= end:
-                    return 200, {"events": events, "as_of": self.revision}
+                    tail = f'], "as_of": {self.revision}}}'.encode()
+                    return 200, b'{"events": [' + b", ".join(events) + tail
                 with suppress(TimeoutError):
                     await asyncio.wait_for(self._changed.wait(), end - monotonic())
-        return 404, {}
+        return 404, b"{}"
 
 
 class Instance:
@@ -305,7 +315,8 @@
         port = self.fleet.ports["readiness"]
         while True:
             begun, ready = monotonic(), False
-            with suppress(OSError, TimeoutError):
+            writer: asyncio.StreamWriter | None = None
+            try:
                 async with asyncio.timeout(POLL_INTERVAL_S):
                     reader, writer = await asyncio.open_connection(self.host, port)
                     writer.write(
@@ -313,6 +324,10 @@
                         "Connection: close\r\n\r\n".encode()
                     )
                     ready = b" 200 " in await reader.readline()
+            except (OSError, TimeoutError):
+                pass  # a miss
+            finally:
+                if writer is not None:
                     writer.close()
             was = self.in_rotation
             self.misses = 0 if ready else self.misses + 1
@@ -328,6 +343,7 @@
     Attributes:
         opened: Time, time at which the client sent it, and flow, of each opening
             packet that it took.
+        beat_at: Time of its last heartbeat.
     """
 
     def __init__(
@@ -347,6 +363,7 @@
         self.started_at, self.born = monotonic(), int(time() * 1000)
         self.cold_s, self.work_s, self.closes = cold_s, work_s, closes
         self.state, self.sequence = "ready", 0
+        self.beat_at = 0.0
         # By addresses and ports: own first number, then whether the flow is open.
         self.flows: dict[tuple[Any, ...], list[Any]] = {}
         self.ended: set[tuple[Any, ...]] = set()
@@ -363,6 +380,7 @@
         while True:
             remaining_s = max(0.0, self.started_at + self.cold_s - monotonic())
             self.register(remaining_s)
+            self.beat_at = monotonic()
             await asyncio.sleep(HEARTBEAT_S)
 
     def register(self, remaining_s: float = 0.0) -> None:
@@ -677,6 +695,8 @@
     async def __aexit__(self, *exc_info: object) -> None:
         for task in self._tasks:
             task.cancel()
+        await asyncio.gather(*self._tasks, return_exceptions=True)
+        self._note_store_errors()
         for instance in self.instances:
             await instance.end()
         for backend in self.backends:
@@ -686,8 +706,17 @@
         close_socket(self._router)
         await self.store.close()
         self.record.write_text("\n".join(self.lines) + "\n")
+        await asyncio.sleep(0.05)  # lets the loop close what was ended
         self._temporary.cleanup()
 
+    def _note_store_errors(self) -> None:
+        """Note what the instances logged of reads of the store that failed."""
+        for instance in self.instances:
+            log = (self.folder / f"{instance.name}.log").read_text()
+            for line in log.splitlines():
+                if '"PLATFORM_' in line or '"HISTORY_LOST"' in line:
+                    self.note(f"log of {instance.name}: {line[:300]}")
+
     def note(self, text: str) -> None:
         """Write a line to the record."""
         self.lines.append(f"{monotonic() - self.began:8.3f} {text}")
