Drop SYNs that waited in an instance until their callers may have repeated them

Cause: the SYNs that waited in the socket of the frozen instance were placed when it went on, as if they were new. By then their copies had opened the flows at other servers through another instance. The server of the late SYN answered as well, and a caller repeats the tag of the last answer that it received. The next packet of the flow then named a server that does not have it; the only instance that knew better was the one that had seen the flow open, and the routers had moved the flow back to the other one.

The border is the caller's next copy, 200, 400 and 800 ms after the SYN, the first and the second copy.

Change: a SYN that may have waited in the receive queue until its caller sent the next copy is dropped. So each read empties the socket into `ReceiveQueue`, at least every 50 ms, and a datagram has arrived after the read before. This bound counts times of suspension, and holds in a backlog and during a start. The copy opens the flow, so the caller loses nothing unless its copies were lost.

Tests: test_frozen_instance_does_not_place_syns_whose_copies_opened_the_flow_elsewhere and three more of tests/runtime/test_forwarder.py fail on the sources before.

--- a/src/magnoliaslip/core/clock.py
+++ b/src/magnoliaslip/core/clock.py
@@ -1,7 +1,7 @@
 """Sources of time."""
 
 from abc import ABC, abstractmethod
-from time import monotonic, time
+from time import CLOCK_BOOTTIME, clock_gettime, monotonic, time
 
 
 class Clock(ABC):
@@ -17,6 +17,10 @@
     def wall(self) -> float:
         """Return seconds since the Unix epoch; may step."""
 
+    def boottime(self) -> float:
+        """Return monotonic seconds that include times of suspension."""
+        return self.monotonic()
+
 
 class SystemClock(Clock):
     """The clocks of the operating system.
@@ -36,6 +40,10 @@
         """Return seconds since the Unix epoch."""
         return time()
 
+    def boottime(self) -> float:
+        """Return seconds of ``CLOCK_BOOTTIME``."""
+        return clock_gettime(CLOCK_BOOTTIME)
+
 
 class ManualClock(Clock):
     """A clock that advances only on request, for tests and virtual time.
--- a/src/magnoliaslip/runtime/process.py
+++ b/src/magnoliaslip/runtime/process.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from anyio import Event as Signal
-from anyio import create_task_group, open_signal_receiver, sleep
+from anyio import create_task_group, open_signal_receiver, sleep, wait_readable
 from anyio.lowlevel import checkpoint
 from msgspec import Struct
 
@@ -22,7 +22,6 @@
 from magnoliaslip.core.http_server import HttpRequest, HttpResponse, serve_http
 from magnoliaslip.core.json_log import JsonLineHandler, LineRateLimiter
 from magnoliaslip.core.metrics import Metrics
-from magnoliaslip.dataplane.udp_reader import read_batches
 from magnoliaslip.dataplane.udp_socket import open_udp
 from magnoliaslip.gossip.exchange import GossipExchange
 from magnoliaslip.gossip.snapshot_fetcher import SNAPSHOT_PATH, SnapshotFetcher
@@ -33,7 +32,7 @@
 from magnoliaslip.runtime.adapter import PlatformAdapter
 from magnoliaslip.runtime.decision_log import EventDecisionLog
 from magnoliaslip.runtime.deferred_imports import import_metrics_page
-from magnoliaslip.runtime.forwarder import TagForwarder
+from magnoliaslip.runtime.forwarder import MAX_READ_INTERVAL_S, TagForwarder
 from magnoliaslip.runtime.metrics_page import MetricsPage, MetricValues
 from magnoliaslip.runtime.paths import EXPLAIN_PATH, STATUS_PATH
 from magnoliaslip.runtime.settings import SteeringSettings
@@ -168,6 +167,7 @@
             tasks.start_soon(serve_http, metrics, self._answer_metrics)
             for run_task in (
                 self._forward_packets,
+                self._read_when_idle,
                 self._reader.run,
                 snapshot_fetcher.run,
                 self._gossip.receive,
@@ -338,7 +338,20 @@
         }
 
     async def _forward_packets(self) -> None:
-        await read_batches(self._forwarder.sock, self._forwarder.handle_batch)
+        while True:
+            await wait_readable(self._forwarder.sock)
+            await self._forward_pending()
+
+    async def _read_when_idle(self) -> None:
+        """Read the receive queue regularly, see `TagForwarder.handle_next_batch`."""
+        while True:
+            await sleep(MAX_READ_INTERVAL_S)
+            await self._forward_pending()
+
+    async def _forward_pending(self) -> None:
+        while self._forwarder.handle_next_batch():
+            # Lets other tasks, such as digests, run between two batches.
+            await checkpoint()
 
     async def _tick(self) -> None:
         while True:
--- a/src/magnoliaslip/runtime/start.py
+++ b/src/magnoliaslip/runtime/start.py
@@ -78,12 +78,14 @@
         except SettingsError as exc:
             print(exc, file=stderr)
             return EXIT_INVALID_SETTINGS
+        clock = SystemClock()
         forwarder = TagForwarder(
             cfg.zone,
             sock=listeners.packets,
             link=adapter.link(listeners.packets),
             decode=adapter.decode,
-            clock=SystemClock(),
+            clock=clock,
+            open_s=clock.monotonic() - listeners.opened_at,
         )
         store_client = adapter.store_client(cfg.store)
         _read_store_once(store_client, forwarder)
--- a/src/magnoliaslip/runtime/startup_loop.py
+++ b/src/magnoliaslip/runtime/startup_loop.py
@@ -4,7 +4,6 @@
 from socket import socket as Socket  # noqa: N812
 from time import monotonic
 
-from magnoliaslip.dataplane.udp_socket import receive_batch
 from magnoliaslip.runtime.forwarder import TagForwarder
 
 # The imports begin when no packet or poll has arrived for this time in seconds.
@@ -54,9 +53,8 @@
         readable = select([sock, self._readiness], [], [], timeout_s)[0]
         if self._readiness in readable:
             self._answer_poll()
-        if sock in readable:
-            self.forwarder.handle_batch(receive_batch(sock))
-        return bool(readable)
+        has_packets = self.forwarder.handle_next_batch()
+        return has_packets or bool(readable)
 
     def _answer_poll(self) -> None:
         try:
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -17,6 +17,7 @@
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S, SYN_ANSWER_TIMEOUT_S
 from magnoliaslip.steering.server_choice import ServerChoice, service_of
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
+from magnoliaslip.steering.syn_copies import may_be_superseded
 from magnoliaslip.steering.tags import flow_tag
 
 # State of a flow may be discarded when it is older than this, in seconds (protocol); a
@@ -67,6 +68,7 @@
         before_judgement: Called before the evidence on servers is used.
         queued_packets: Packets that were in the receive queue at once, when the one
             that is handled now was read.
+        max_wait_s: Longest time in seconds for which it may have waited there.
         flows: Entries of the flows that this instance forwards.
         server_choice: Chooses the servers of new flows.
         servers: Servers that packets may be sent to.
@@ -85,6 +87,7 @@
         "counters",
         "flows",
         "log",
+        "max_wait_s",
         "observe",
         "on_evidence",
         "queued_packets",
@@ -112,6 +115,7 @@
         self.before_judgement: Callable[[], None] | None = None
         self.correction_time_s = CORRECTION_TIME_S
         self.queued_packets = 1
+        self.max_wait_s = 0.0
         self.flows = FlowTable()
         self.servers = ServerSet(retention_s=MAX_FLOW_AGE_S)
         # Time since which received packets have been waiting, else infinity.
@@ -206,8 +210,13 @@
 
         A retransmission is placed on another server if there is one. A SYN of an
         established flow, or one with a lower retransmission number than the last,
-        starts a new flow between the same addresses and ports.
+        starts a new flow between the same addresses and ports. A SYN that waited here
+        until its caller may have sent the next copy is dropped: the flow may be open
+        on another server by now.
         """
+        if may_be_superseded(packet.retransmission, self.max_wait_s):
+            self._drop(packet, "superseded", waited_s=round(self.max_wait_s, 3))
+            return
         if route is None:
             self._reset(packet, "no_route")
             return
--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -1,5 +1,6 @@
 """Guards against a packet that ends the process that forwards it."""
 
+from contextlib import contextmanager
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
 
@@ -8,6 +9,7 @@
 
 from fleet_adapter.packets import FleetLink, decode_packet
 from magnoliaslip.core.clock import ManualClock
+from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS
 from magnoliaslip.registry.store_client import ChangeBatch, RoutesChange, ServerChange
 from magnoliaslip.runtime.forwarder import TagForwarder
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S
@@ -17,13 +19,14 @@
 SYN = bytes.fromhex("9c4101bb64400007c6120001112233440000000000001000") + bytes(8)
 
 
-def forwarder(sock, *, link=None):
+def forwarder(sock, *, link=None, **fields):
     each = TagForwarder(
         "a",
         sock=sock,
         link=link or FleetLink(sock),
         decode=decode_packet,
         clock=ManualClock(start=100.0),
+        **fields,
     )
     each.router.log = RecordingLog()
     changes = (RoutesChange(routes()), ServerChange("i-1", server("i-1")))
@@ -118,3 +121,87 @@
             caller.sendto(data, sock.getsockname())
         each.handle_pending()
     assert each.counters["forwarded"] == 200
+
+
+def syn(copy=0, port=0x41):
+    """Return a SYN, or the copy of it with this number."""
+    return SYN[:1] + bytes([port]) + SYN[2:16] + copy.to_bytes(4, "big") + SYN[20:]
+
+
+class RecordingFleetLink(FleetLink):
+    """Records the servers that packets were sent to."""
+
+    __slots__ = ("sent",)
+
+    def __init__(self, sock):
+        super().__init__(sock)
+        self.sent = []
+
+    def send_to_server(self, server, packet, tag):
+        self.sent.append((server.id, packet.raw[:20], packet.flags))
+
+
+@contextmanager
+def receiving_forwarder(**fields):
+    """Return a forwarder, its clock and a function that sends it a datagram."""
+    with Socket(AF_INET, SOCK_DGRAM) as sock, Socket(AF_INET, SOCK_DGRAM) as caller:
+        sock.bind(("127.0.0.1", 0))
+        sock.setblocking(False)
+        caller.connect(sock.getsockname())
+        each = forwarder(sock, link=RecordingFleetLink(sock), **fields)
+        yield each, each._clock, caller.send
+
+
+def test_frozen_instance_does_not_place_syns_whose_copies_opened_the_flow_elsewhere():
+    # The late SYN+ACK would change the tag that the caller repeats: its next packet
+    # then reaches a server without the flow, which resets it.
+    with receiving_forwarder() as (each, clock, send):
+        each.handle_pending()
+        send(syn())
+        clock.advance(0.5)  # frozen
+        each.handle_pending()
+        assert each.router._link.sent == []
+        assert each.counters["drop_superseded"] == 1
+        # The routers send the open flow here again; its tag is that of its server.
+        send(data(0x41))
+        each.handle_pending()
+        assert [name for name, _, _ in each.router._link.sent] == ["i-1"]
+
+
+def test_frozen_instance_places_the_copy_that_its_caller_still_waits_for():
+    with receiving_forwarder() as (each, clock, send):
+        each.handle_pending()
+        send(syn())
+        send(syn(copy=1))
+        clock.advance(0.3)  # frozen
+        each.handle_pending()
+        assert [raw for _, raw, _ in each.router._link.sent] == [syn(copy=1)[:20]]
+
+
+def test_syns_that_waited_during_a_short_pause_are_placed():
+    with receiving_forwarder() as (each, clock, send):
+        each.handle_pending()
+        send(syn())
+        clock.advance(0.14)
+        each.handle_pending()
+        assert each.counters["forwarded"] == 1
+
+
+def test_syns_are_placed_in_a_backlog_that_lasts():
+    # A busy instance reads SYNs soon after they arrived, but its queue is never empty.
+    with receiving_forwarder() as (each, clock, send):
+        each.handle_pending()
+        for _ in range(40):
+            for port in range(BATCH_DATAGRAMS):
+                send(syn(port=port))
+            assert each.handle_next_batch()
+            clock.advance(0.01)
+        assert "drop_superseded" not in each.counters
+
+
+def test_syns_that_waited_during_a_start_are_placed_if_their_caller_still_waits():
+    with receiving_forwarder(open_s=0.35) as (each, _, send):
+        send(syn(port=1))
+        send(syn(copy=2, port=2))
+        each.handle_pending()
+        assert [raw for _, raw, _ in each.router._link.sent] == [syn(2, 2)[:20]]
