Send a copy of a SYN to the same server if that had no time to answer

A copy was placed on another server whenever it arrived. When packets are held up before they reach the instance (a full link, a pause of the machine in between), a SYN and its copy arrive together, and the first server has not had a chance to answer.

Test: test_copy_of_a_syn_that_arrives_with_it_goes_to_the_same_server fails on the sources before.

--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -208,7 +208,10 @@
     ) -> None:
         """Place the flow of a SYN, or forward a duplicate to the server chosen before.
 
-        A retransmission is placed on another server if there is one. A SYN of an
+        A retransmission is placed on another server if there is one, unless the first
+        one has not had the time to answer: when packets were held up on their way here,
+        a SYN and its copy arrive together. If two servers answer, the caller repeats
+        the tag of the later answer, which need not be that of its server. A SYN of an
         established flow, or one with a lower retransmission number than the last,
         starts a new flow between the same addresses and ports. A SYN that waited here
         until its caller may have sent the next copy is dropped: the flow may be open
@@ -227,7 +230,11 @@
             or packet.retransmission < entry.retransmission
         ):
             entry = self.flows.create(packet.flow, now)
-        elif packet.retransmission == entry.retransmission and entry.server is not None:
+        elif entry.server is not None and (
+            packet.retransmission == entry.retransmission
+            or now - entry.last_seen_at < SYN_ANSWER_TIMEOUT_S
+        ):
+            entry.retransmission = packet.retransmission
             self._send(entry.server, packet, entry.tag)
             return
         elif entry.server is not None:
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -203,3 +203,13 @@
     assert server_tag(server("i-1")) != 0
     assert ServerSet(retention_s=1).find(0) is None
     assert START_TIME_S > 0
+
+
+def test_copy_of_a_syn_that_arrives_with_it_goes_to_the_same_server():
+    # With two servers, the caller may repeat the tag of the one that it does not use.
+    harness = Harness(server("i-1"), server("i-2"))
+    first = harness.open()
+    harness.now += 0.01
+    assert harness.open(retransmission=1) == first
+    harness.now += 0.01
+    assert harness.open(retransmission=2) == first
