Drop a late copy of the SYN of an established flow

Change: an entry keeps the sequence number of the SYN. A SYN with the same number within the 1.4 s in which a caller sends copies is dropped while the flow is established. Another number, as of a port that is used again, starts a new flow as before.

Test: test_late_copy_of_the_syn_of_an_established_flow_is_dropped fails on the sources before.

--- a/src/magnoliaslip/steering/flow_table.py
+++ b/src/magnoliaslip/steering/flow_table.py
@@ -29,6 +29,8 @@
         next_request_counted: Whether its next request is already counted as load; the
             first one is when the flow is placed.
         established: Whether the caller has answered the server's SYN-ACK.
+        syn_seq: Sequence number of its SYN; None if the SYN was not seen here.
+        syn_sent_at: Monotonic time in seconds at which the SYN was last forwarded.
         seq: Highest sequence number of a packet with data; None before the first.
         sent_at: Monotonic time in seconds at which that packet first arrived here.
         ack: Highest acknowledgement number of the caller.
@@ -46,6 +48,8 @@
         "sent_at",
         "seq",
         "server",
+        "syn_sent_at",
+        "syn_seq",
         "tag",
         "tried",
         "unanswered_since",
@@ -58,6 +62,8 @@
         self.retransmission = 0
         self.next_request_counted = False
         self.established = False
+        self.syn_seq: int | None = None
+        self.syn_sent_at = 0.0
         self.seq: int | None = None
         self.sent_at = 0.0
         self.ack = 0
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -17,7 +17,7 @@
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S, SYN_ANSWER_TIMEOUT_S
 from magnoliaslip.steering.server_choice import ServerChoice, service_of
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
-from magnoliaslip.steering.syn_copies import may_be_superseded
+from magnoliaslip.steering.syn_copies import SYN_LIFETIME_S, may_be_superseded
 from magnoliaslip.steering.tags import flow_tag
 
 # State of a flow may be discarded when it is older than this, in seconds (protocol); a
@@ -211,9 +211,10 @@
         A retransmission is placed on another server if there is one, unless the first
         one has not had the time to answer: when packets were held up on their way here,
         a SYN and its copy arrive together. If two servers answer, the caller repeats
-        the tag of the later answer, which need not be that of its server. A SYN of an
-        established flow, or one with a lower retransmission number than the last,
-        starts a new flow between the same addresses and ports. A SYN that waited here
+        the tag of the later answer, which need not be that of its server. A late copy
+        of the SYN of an established flow is dropped. Another SYN, or one with a lower
+        retransmission number than the last, starts a new flow between the same
+        addresses and ports. A SYN that waited here
         until its caller may have sent the next copy is dropped: the flow may be open
         on another server by now.
         """
@@ -224,6 +225,14 @@
             self._reset(packet, "no_route")
             return
         entry = self.flows.get(packet.flow)
+        if (
+            entry is not None
+            and entry.established
+            and entry.syn_seq == packet.seq
+            and now - entry.syn_sent_at < SYN_LIFETIME_S
+        ):
+            self._drop(packet, "superseded", waited_s=round(self.max_wait_s, 3))
+            return
         if (
             entry is None
             or entry.established
@@ -265,6 +274,8 @@
             revision=self._directory.revision,
         )
         entry.tag = flow_tag(tracked.key, packet.endpoint)
+        entry.syn_seq = packet.seq
+        entry.syn_sent_at = now
         entry.next_request_counted = True
         tracked.record_placement(now)
         self._pending_syns.add(now, packet.flow, packet.caller, tracked)
--- a/src/magnoliaslip/steering/syn_copies.py
+++ b/src/magnoliaslip/steering/syn_copies.py
@@ -3,6 +3,8 @@
 # Times in seconds from the first SYN, and from each copy, until the caller sends the
 # next one; after the last copy, until it gives up (protocol).
 NEXT_COPY_DELAYS_S = (0.2, 0.4, 0.8)
+# Copies of a SYN are sent, and answers to it accepted, for this time in seconds.
+SYN_LIFETIME_S = sum(NEXT_COPY_DELAYS_S)
 # An answer reaches the caller within this time in seconds after its SYN was forwarded:
 # a round trip to another zone takes at most about 20 ms.
 ANSWER_TIME_S = 0.05
--- a/tests/steering/harness.py
+++ b/tests/steering/harness.py
@@ -131,13 +131,14 @@
         self._is_queued = False
         self.router.on_receive_queue_empty(self.now)
 
-    def open(self, flow=b"flow", *, retransmission=0, endpoint=DESK_ENDPOINT):
+    def open(self, flow=b"flow", *, retransmission=0, endpoint=DESK_ENDPOINT, seq=0):
         """Open a flow; return the server that was chosen, or None."""
         sent = self.handle(
             flow=flow,
             flags=PacketFlags.SYN,
             retransmission=retransmission,
             endpoint=endpoint,
+            seq=seq,
         )
         return sent[0] if sent else None
 
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -213,3 +213,23 @@
     assert harness.open(retransmission=1) == first
     harness.now += 0.01
     assert harness.open(retransmission=2) == first
+
+
+def test_late_copy_of_the_syn_of_an_established_flow_is_dropped():
+    # A second server would answer it and change the tag that the caller repeats.
+    harness = Harness(server("i-1"), server("i-2"))
+    first = harness.open(seq=50)
+    harness.handle(tag=harness.tag(first), seq=51, ack=9)
+    harness.now += 0.2
+    assert harness.open(seq=50, retransmission=1) is None
+    assert harness.handle(tag=harness.tag(first), seq=51, ack=9, data_bytes=5) == [
+        first
+    ]
+
+
+def test_reused_port_starts_a_new_flow_also_with_the_same_sequence_number():
+    harness = Harness(server("i-1"))
+    first = harness.open(seq=50)
+    harness.handle(tag=harness.tag(first), seq=51, ack=9)
+    harness.now += 2.0
+    assert harness.open(seq=50) == "i-1"
