Follow the tag if a port is used by another flow than the recorded one

Cause: an established entry overruled the tag, whatever flow its packets belonged to. While an instance was out of rotation, another one forwarded the SYN of the port's next flow, so the first one never replaced the entry of the flow before. When the flow came back, its packets were sent to the earlier server.

Change: an entry applies to packets whose sequence and acknowledgement numbers are within 1 MiB of the last ones. Others belong to another flow and follow their tag. A flow that sent more through other instances follows its tag as well, which is nearly always that of its server.

Test: test_reused_port_whose_syn_was_forwarded_by_others_follows_its_tag fails on the sources before.

--- a/src/magnoliaslip/steering/flow_table.py
+++ b/src/magnoliaslip/steering/flow_table.py
@@ -1,10 +1,17 @@
 """State that an instance keeps of the flows that it forwards."""
 
+from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
 from magnoliaslip.steering.servers import TrackedServer
 
+ACK = int(PacketFlags.ACK)
+
 MAX_FLOWS = 100_000
 _HALF_RANGE = 1 << 31
 _MASK_32_BITS = (1 << 32) - 1
+# Packets of one flow that reach this instance have sequence numbers within this number
+# of bytes of each other, unless others forwarded more in between. Two flows of the same
+# addresses and ports begin with random numbers.
+MAX_GAP_BYTES = 1 << 20
 
 
 def is_after(seq: int, other: int) -> bool:
@@ -18,6 +25,15 @@
     return seq != other and (seq - other) & _MASK_32_BITS < _HALF_RANGE
 
 
+def is_near(seq: int, other: int) -> bool:
+    """Check whether two 32-bit sequence numbers are within `MAX_GAP_BYTES`.
+
+    >>> is_near(5, 0xFFFFFFFE), is_near(0xFFFFFFFE, 5), is_near(0, 1 << 30)
+    (True, True, False)
+    """
+    return (seq - other + MAX_GAP_BYTES) & _MASK_32_BITS <= 2 * MAX_GAP_BYTES
+
+
 class FlowEntry:
     """Observations of one flow; losing them does not break the flow.
 
@@ -31,6 +47,7 @@
         established: Whether the caller has answered the server's SYN-ACK.
         syn_seq: Sequence number of its SYN; None if the SYN was not seen here.
         syn_sent_at: Monotonic time in seconds at which the SYN was last forwarded.
+        last_seq: Sequence number of the last packet of the established flow.
         seq: Highest sequence number of a packet with data; None before the first.
         sent_at: Monotonic time in seconds at which that packet first arrived here.
         ack: Highest acknowledgement number of the caller.
@@ -43,6 +60,7 @@
         "ack",
         "established",
         "last_seen_at",
+        "last_seq",
         "next_request_counted",
         "retransmission",
         "sent_at",
@@ -64,12 +82,23 @@
         self.established = False
         self.syn_seq: int | None = None
         self.syn_sent_at = 0.0
+        self.last_seq = 0
         self.seq: int | None = None
         self.sent_at = 0.0
         self.ack = 0
         self.unanswered_since = 0.0
         self.last_seen_at = now
 
+    def continues(self, packet: TaggedPacket) -> bool:
+        """Check whether a packet belongs to the established flow of this entry.
+
+        If not, the addresses and ports are used by another flow, whose beginning was
+        not seen here.
+        """
+        return is_near(packet.seq, self.last_seq) and (
+            not packet.flags & ACK or is_near(packet.ack, self.ack)
+        )
+
 
 class FlowTable:
     """Entries by flow, bounded in number and age."""
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -285,6 +285,9 @@
         self, packet: TaggedPacket, route: ServiceRoute | None, now: float
     ) -> None:
         entry = self.flows.get(packet.flow)
+        if entry is not None and entry.established and not entry.continues(packet):
+            # The port is used again, and others forwarded the SYN of the new flow.
+            entry = None
         if entry is not None and entry.established and entry.server is not None:
             # A second server's answer to a retransmitted SYN may have changed the tag
             # after the flow was established.
@@ -384,6 +387,7 @@
             entry.unanswered_since = 0.0
             self._record_answer(tracked, packet.flow, now)
         entry.last_seen_at = now
+        entry.last_seq = packet.seq
         if not packet.data_bytes:
             return False
         if entry.seq is None or is_after(packet.seq, entry.seq):
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -233,3 +233,23 @@
     harness.handle(tag=harness.tag(first), seq=51, ack=9)
     harness.now += 2.0
     assert harness.open(seq=50) == "i-1"
+
+
+def test_reused_port_whose_syn_was_forwarded_by_others_follows_its_tag():
+    # Guards against an entry of the flow before that sends it to a server without it.
+    harness = Harness(server("i-1"), server("i-2"))
+    harness.handle(tag=harness.tag("i-1"), seq=1, ack=9, data_bytes=5)
+    other = {"tag": harness.tag("i-2"), "seq": 1 << 30, "ack": 3 << 30}
+    assert harness.handle(**other, data_bytes=5) == ["i-2"]
+    # It is an established flow from now on, also with the tag of a late answer.
+    other["tag"] = harness.tag("i-1")
+    assert harness.handle(**other, data_bytes=5) == ["i-2"]
+
+
+def test_flow_that_returns_from_another_instance_keeps_its_server():
+    # Guards against taking a flow that others forwarded for a while for another one.
+    harness = Harness(server("i-1"), server("i-2"))
+    harness.handle(tag=harness.tag("i-1"), seq=2**32 - 1, ack=2**32 - 1, data_bytes=5)
+    assert harness.handle(
+        tag=harness.tag("i-2"), seq=100_000, ack=900_000, data_bytes=5
+    ) == ["i-1"]
