List the store again if the answer to a watch is too long

Cause: an answer to a watch has every version of an item since the revision asked for. HttpExchange cut it at 8 MiB without a word, it could not be decoded, and the reader asked again from the same revision, for even more. All instances kept the old state until the store's 20 s of history were over.

Test: test_watch_whose_answer_is_too_long_asks_for_a_list fails on the sources before ("can't be decoded").

--- a/src/magnoliaslip/core/http_exchange.py
+++ b/src/magnoliaslip/core/http_exchange.py
@@ -24,14 +24,16 @@
         status: HTTP status code; 0 if the connection was closed before it.
         headers: Headers by name in lower case.
         body: The content, up to the maximum length.
+        is_truncated: Whether the content was longer.
     """
 
-    __slots__ = ("body", "headers", "status")
+    __slots__ = ("body", "headers", "is_truncated", "status")
 
     def __init__(self) -> None:
         self.status = 0
         self.headers: dict[bytes, bytes] = {}
         self.body = bytearray()
+        self.is_truncated = False
 
 
 class HttpExchange:
@@ -105,6 +107,7 @@
         body += data
         if len(body) > self._max_body_bytes:
             del body[self._max_body_bytes :]
+            self.response.is_truncated = True
             self.complete = True
 
     def on_message_complete(self) -> None:
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -95,6 +95,22 @@
     assert run(call_store, fake_store.answer).changes == ()
 
 
+def test_watch_whose_answer_is_too_long_asks_for_a_list(monkeypatch):
+    # Guards against asking for ever more changes since a revision that is never left.
+    monkeypatch.setattr("fleet_adapter.store.MAX_BODY_BYTES", 2000)
+    fake_store = FakeStore()
+    for version in range(8):  # 400 bytes each
+        fake_store.put_routes(version, ("198.18.0.1", 8080), ("198.18.0.2", 8080))
+
+    async def call_store(store_client):
+        with pytest.raises(HistoryLostError, match="over 2000 bytes"):
+            await store_client.watch(after=1, wait_s=5.0)
+        return await store_client.list()
+
+    (change,) = run(call_store, fake_store.answer).changes
+    assert change.table.version == 7
+
+
 def test_list_and_watch_have_the_era_of_the_store():
     fake_store = FakeStore()
     fake_store.era = 7
