Take no entry for a server that lacks version or sequence

Another writer had written the entry of a server of that service without `sequence` and with the service of the orders.

Cause: the decoder read the fields that it needs and never looked at `version` and `sequence`. The platform says that an entry with missing or ill-typed fields names no server to use.

`born` remains optional: the platform's example of an entry has none.

Tests: the cases `version` and `sequence` of test_registration_with_a_missing_field_is_an_unreadable_entry, and three of test_invalid_registration_is_an_unreadable_entry, fail on the sources before.

--- a/tests/platform/fake_store.py
+++ b/tests/platform/fake_store.py
@@ -46,6 +46,8 @@
             "service": "desk",
             "address": f"{address[0]}:{address[1]}",
             "zone": "a",
+            "version": "v1",
+            "sequence": 1,
             "slots": 4,
             "state": "ready",
             "warmup_remaining_ms": 0,
--- a/tests/platform/test_entries.py
+++ b/tests/platform/test_entries.py
@@ -120,6 +120,9 @@
         {"slots": 0},
         {"address": "nowhere"},
         {"warmup_remaining_ms": None},
+        {"version": 1},
+        {"sequence": "4"},
+        {"sequence": None},
     ],
 )
 def test_invalid_registration_is_an_unreadable_entry(fault):
@@ -128,7 +131,7 @@
     assert change.server_id == "i-0a"
 
 
-@pytest.mark.parametrize("missing", ["service", "address", "zone", "state"])
+@pytest.mark.parametrize("missing", sorted(SERVER_ENTRY.keys() - {"born"}))
 def test_registration_with_a_missing_field_is_an_unreadable_entry(missing):
     entry = {key: value for key, value in SERVER_ENTRY.items() if key != missing}
     change = decode_item(encode_item("servers/i-0a", entry))
