Place no flows on the former incarnation of a server that started again

Cause: a server that leaves the list is used for 2 s more while its flows get answers, as its registration may only have lapsed. The former incarnation was treated so, too. The new process has the same identifier and address, so it got the flows, its answers kept the former incarnation in use, and only the new incarnation counted as cold.

Change: a removed server is a candidate for new flows only if nothing is registered under its identifier. Packets of its open flows still go to the address, where the new process resets them.

Test: test_server_that_starts_again_cold_loses_the_share_of_its_former_incarnation (replaced at once, and after a lapse) fails on the sources before.

--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -293,7 +293,7 @@
         """Return the servers of a service that may get new flows.
 
         Includes servers removed less than `REGISTRATION_GRACE_S` ago, see
-        `TrackedServer.counts_as_registered`.
+        `TrackedServer.counts_as_registered`, except former incarnations of others.
 
         Args:
             service: Name of the service.
@@ -388,7 +388,11 @@
             server = tracked.server
             if tracked.registered:
                 tracked.group.registered += 1
-            elif now - tracked.removed_at < REGISTRATION_GRACE_S:
+            elif (
+                now - tracked.removed_at < REGISTRATION_GRACE_S
+                # Otherwise it has started again, and holds nothing of before.
+                and server.id not in self._registered
+            ):
                 self._has_lapsing = True
             else:
                 continue
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -253,3 +253,19 @@
     assert harness.handle(
         tag=harness.tag("i-2"), seq=100_000, ack=900_000, data_bytes=5
     ) == ["i-1"]
+
+
+@pytest.mark.parametrize("lapsed", [False, True])
+def test_server_that_starts_again_cold_loses_the_share_of_its_former_incarnation(
+    lapsed,
+):
+    # The new process answers for both, as they have the same identifier and address.
+    harness = Harness(server("i-1"), server("i-2"))
+    assert "i-1" in {harness.open(flow=bytes([n])) for n in range(20)}
+    harness.handle(flow=b"old", tag=harness.tag("i-1"), ack=1)
+    harness.handle(flow=b"old", tag=harness.tag("i-1"), ack=2)
+    if lapsed:
+        harness.publish(ServerChange("i-1", None))
+    cold = server("i-1", started_ms=2, cold_ms=2000)
+    harness.publish(ServerChange("i-1", cold))
+    assert {harness.open(flow=bytes([9, n])) for n in range(20)} == {"i-2"}
