Drop a copy of a SYN that a later copy overtook, and split the router's log fields off

Packets of one flow are reordered on the way, or copies wait in different queues. The sequence number of the SYN tells a copy from a new flow, as for established flows; both are now FlowEntry.is_late_copy.

Test: test_copy_of_a_syn_that_a_later_copy_overtook_is_dropped fails on the sources before.

--- a/src/magnoliaslip/steering/flow_table.py
+++ b/src/magnoliaslip/steering/flow_table.py
@@ -1,9 +1,8 @@
 """State that an instance keeps of the flows that it forwards."""
 
-from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
+from magnoliaslip.steering.packet import ACK, TaggedPacket
 from magnoliaslip.steering.servers import TrackedServer
-
-ACK = int(PacketFlags.ACK)
+from magnoliaslip.steering.syn_copies import SYN_LIFETIME_S
 
 MAX_FLOWS = 100_000
 _HALF_RANGE = 1 << 31
@@ -89,6 +88,17 @@
         self.unanswered_since = 0.0
         self.last_seen_at = now
 
+    def is_late_copy(self, packet: TaggedPacket, now: float) -> bool:
+        """Check whether a SYN is a copy that a later packet of the flow overtook.
+
+        Another server would answer it, and the caller would repeat that server's tag.
+        """
+        return (
+            packet.seq == self.syn_seq
+            and (self.established or packet.retransmission < self.retransmission)
+            and now - self.syn_sent_at < SYN_LIFETIME_S
+        )
+
     def continues(self, packet: TaggedPacket) -> bool:
         """Check whether a packet belongs to the established flow of this entry.
 
--- a/src/magnoliaslip/steering/packet.py
+++ b/src/magnoliaslip/steering/packet.py
@@ -14,6 +14,13 @@
     RST = 8
 
 
+# Plain integers, as operations on members of an enum are slow.
+SYN = int(PacketFlags.SYN)
+ACK = int(PacketFlags.ACK)
+FIN = int(PacketFlags.FIN)
+RST = int(PacketFlags.RST)
+
+
 class TaggedPacket:
     """One packet received from a caller.
 
--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -7,17 +7,18 @@
 
 from magnoliaslip.registry.directory import Directory
 from magnoliaslip.registry.model import Endpoint, ServiceRoute
+from magnoliaslip.steering.decision_fields import evidence_fields, placement_fields
 from magnoliaslip.steering.decisions import DecisionLog
 from magnoliaslip.steering.deferred_packet import DeferredPacket
 from magnoliaslip.steering.flow_table import FlowEntry, FlowTable, is_after
 from magnoliaslip.steering.flow_tags import FlowTags
 from magnoliaslip.steering.link import TaggedLink
-from magnoliaslip.steering.packet import PacketFlags, TaggedPacket
+from magnoliaslip.steering.packet import FIN, RST, SYN, TaggedPacket
 from magnoliaslip.steering.pending_syns import PendingSyns
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S, SYN_ANSWER_TIMEOUT_S
 from magnoliaslip.steering.server_choice import ServerChoice, service_of
 from magnoliaslip.steering.servers import ServerSet, TrackedServer
-from magnoliaslip.steering.syn_copies import SYN_LIFETIME_S, may_be_superseded
+from magnoliaslip.steering.syn_copies import may_be_superseded
 from magnoliaslip.steering.tags import flow_tag
 
 # State of a flow may be discarded when it is older than this, in seconds (protocol); a
@@ -28,10 +29,6 @@
 # in seconds is a retransmission.
 MIN_RETRANSMISSION_DELAY_S = 0.15
 
-SYN = int(PacketFlags.SYN)
-RST = int(PacketFlags.RST)
-FIN = int(PacketFlags.FIN)
-
 
 class TagRouter:
     """Places new flows and forwards packets by the tag that they carry.
@@ -211,10 +208,10 @@
         A retransmission is placed on another server if there is one, unless the first
         one has not had the time to answer: when packets were held up on their way here,
         a SYN and its copy arrive together. If two servers answer, the caller repeats
-        the tag of the later answer, which need not be that of its server. A late copy
-        of the SYN of an established flow is dropped. Another SYN, or one with a lower
-        retransmission number than the last, starts a new flow between the same
-        addresses and ports. A SYN that waited here
+        the tag of the later answer, which need not be that of its server. A late copy,
+        see `FlowEntry.is_late_copy`, is dropped. Another SYN of an established flow, or
+        one with a lower retransmission number than the last, starts a new flow between
+        the same addresses and ports. A SYN that waited here
         until its caller may have sent the next copy is dropped: the flow may be open
         on another server by now.
         """
@@ -225,12 +222,7 @@
             self._reset(packet, "no_route")
             return
         entry = self.flows.get(packet.flow)
-        if (
-            entry is not None
-            and entry.established
-            and entry.syn_seq == packet.seq
-            and now - entry.syn_sent_at < SYN_LIFETIME_S
-        ):
+        if entry is not None and entry.is_late_copy(packet, now):
             self._drop(packet, "superseded", waited_s=round(self.max_wait_s, 3))
             return
         if (
@@ -263,15 +255,10 @@
             "FLOW_PLACED",
             packet.flow,
             service=service,
-            server=tracked.server.id,
-            server_zone=tracked.server.zone,
-            load=round(tracked.load(now), 2),
-            suspect=tracked.reachability.suspect,
-            cold=tracked.cold_until > now,
             copy=packet.retransmission,
-            tried=[other.server.id for other in tried],
             era=self._directory.era,
             revision=self._directory.revision,
+            **placement_fields(tracked, tried, now),
         )
         entry.tag = flow_tag(tracked.key, packet.endpoint)
         entry.syn_seq = packet.seq
@@ -423,18 +410,9 @@
         )
 
     def _evidence_fields(self, tracked: TrackedServer, now: float) -> dict[str, Any]:
-        """Return log fields that show whether the server or this instance is late.
-
-        The number of packets that waited together, and the seconds since the server,
-        and any server, last answered; None for never.
-        """
-        ages = {
-            "answer_s": now - tracked.reachability.last_answer_at,
-            "any_answer_s": now - self.servers.last_answer_at,
-        }
-        return {"queued": self.queued_packets} | {
-            name: None if age == inf else round(age, 3) for name, age in ages.items()
-        }
+        return evidence_fields(
+            tracked, self.servers, now, queued_packets=self.queued_packets
+        )
 
     def _observe_duration(self, name: str, seconds: float) -> None:
         if self.observe is not None:
--- a/src/magnoliaslip/steering/servers.py
+++ b/src/magnoliaslip/steering/servers.py
@@ -28,7 +28,6 @@
 # within this time in seconds.
 RECENT_ANSWER_S = 0.5
 
-
 Incarnation = tuple[str, int]  # identifier, start in Unix milliseconds
 
 
@@ -292,8 +291,7 @@
     def candidates(self, service: str, zone: str = "") -> list[TrackedServer]:
         """Return the servers of a service that may get new flows.
 
-        Includes servers removed less than `REGISTRATION_GRACE_S` ago, see
-        `TrackedServer.counts_as_registered`, except former incarnations of others.
+        Includes those removed just now, see `TrackedServer.counts_as_registered`.
 
         Args:
             service: Name of the service.
@@ -388,11 +386,9 @@
             server = tracked.server
             if tracked.registered:
                 tracked.group.registered += 1
-            elif (
-                now - tracked.removed_at < REGISTRATION_GRACE_S
-                # Otherwise it has started again, and holds nothing of before.
-                and server.id not in self._registered
-            ):
+            elif server.id in self._registered:
+                continue  # it has started again, and holds nothing of before
+            elif now - tracked.removed_at < REGISTRATION_GRACE_S:
                 self._has_lapsing = True
             else:
                 continue
--- a/tests/steering/test_router.py
+++ b/tests/steering/test_router.py
@@ -227,6 +227,13 @@
     ]
 
 
+def test_copy_of_a_syn_that_a_later_copy_overtook_is_dropped():
+    harness = Harness(server("i-1"), server("i-2"))
+    assert harness.open(seq=50, retransmission=1)
+    assert harness.open(seq=50) is None
+    assert harness.open(seq=60)  # another flow of the same port
+
+
 def test_reused_port_starts_a_new_flow_also_with_the_same_sequence_number():
     harness = Harness(server("i-1"))
     first = harness.open(seq=50)
