--- a/src/magnoliaslip/steering/router.py
+++ b/src/magnoliaslip/steering/router.py
@@ -24,7 +24,6 @@
 # State of a flow may be discarded when it is older than this, in seconds (protocol); a
 # removed server is kept for as long. The published idle time-out may be shorter.
 MAX_FLOW_AGE_S = 60.0
-
 # Packets are reordered within milliseconds; a packet that arrives again after this time
 # in seconds is a retransmission.
 MIN_RETRANSMISSION_DELAY_S = 0.15
