Let the soak's callers repeat the last tag, and check resets by other servers

Now a caller repeats the tag of the last packet that it received, a flow is open at the server that gets the end of the handshake, and a reset by another server while that one lives undisturbed is reported. One pause in ten between requests is up to 7 s long, and flows begin with random sequence numbers.

Tests: test_reset_of_an_open_flow_by_another_server_is_reported and its counterpart; the check of FLOW by resets of instances now begins at the handshake instead of the first request.

--- a/tests/soak/endpoints.py
+++ b/tests/soak/endpoints.py
@@ -15,6 +15,8 @@
 SYN_COPIES_S = (0.2, 0.4, 0.8)
 DATA_COPIES_S = (0.2, 0.4, 0.8, 1.6, 1.6)
 WORK_S = 0.02
+# Pauses of a caller between the requests of a flow, in seconds; one in ten is long.
+SHORT_PAUSE_S, LONG_PAUSE_S = 0.6, 7.0
 MAX_TRIES = 3
 
 Packet = namedtuple("Packet", "sport dport src dst seq ack flags pad tag data")
@@ -59,7 +61,8 @@
     def __init__(self, site, number, service, zone, *, port=0):
         self.site, self.service, self.zone = site, service, zone
         self.name, self.number = f"i-{number:x}", number
-        self.flows = {}
+        # First number of each SYN+ACK, and the answers of the flows that are open.
+        self.opening, self.flows = {}, {}
         self.left_at = self.draining_at = None
         self.sock = open_socket(f"127.0.8.{1 + number % 200}", port, self.receive)
         self.address = self.sock.getsockname()
@@ -75,12 +78,17 @@
         key = packet[:4]
         self.site.promises.on_forwarded(self, packet, instance)
         if packet.flags & SYN:
-            isn = self.flows.setdefault(key, [self.site.rng.getrandbits(31), {}])[0]
+            isn = self.opening.setdefault(key, self.site.rng.getrandbits(31))
             self._reply(packet, SYN | ACK, isn, packet.seq + 1)
-        elif key not in self.flows:
+            return
+        if key not in self.flows and self.opening.get(key) == packet.ack - 1:
+            self.flows[key] = {}
+            self.site.promises.on_open(self, packet)
+        if key not in self.flows:
+            self.site.promises.on_server_reset(self, packet, instance)
             self._reply(packet, RST, packet.ack, 0)
         elif packet.data:
-            isn, answers = self.flows[key]
+            answers = self.flows[key]
             if packet.seq not in answers:
                 answers[packet.seq] = None
                 self.site.promises.on_run(self, packet)
@@ -113,11 +121,11 @@
 
 
 class CallerFlow:
-    """One connection of a caller; `server` is the number in its last answer."""
+    """One connection of a caller; it repeats the tag of the last packet received."""
 
     def __init__(self, caller, port, route):
         self.caller, self.port, self.route = caller, port, route
-        self.seq, self.ack, self.tag = 1000, 0, 0
+        self.seq, self.ack, self.tag = caller.site.rng.getrandbits(31), 0, 0
         self.opened = self.ended = False
         self.expected = b""
         self.progress = Event()
@@ -175,12 +183,15 @@
             if not packet.pad & REPLY_BIT and self.opened and not self.ended:
                 promises.on_reset(self)
             self.ended = True
-        elif packet.flags & SYN and not self.opened:
-            self.opened, self.tag = True, packet.tag
-            self.seq, self.ack = packet.ack, packet.seq + 1
-            self.send(ACK)
+            self.progress.set()
+            return
+        self.tag = packet.tag
+        if packet.flags & SYN:
+            if not self.opened:
+                self.opened = True
+                self.seq, self.ack = packet.ack, packet.seq + 1
+                self.send(ACK)
         elif packet.data and self.expected:
-            self.tag = packet.tag
             if bytes(packet.data).rpartition(b" ")[0] == self.expected:
                 self.seq += len(self.expected)
                 self.ack += len(packet.data)
@@ -228,7 +239,9 @@
             while opened and pending and await flow.request(pending[0]):
                 del pending[0]
                 self.site.promises.served += 1
-                await sleep(self.site.rng.uniform(0.0, 0.6))
+                is_long = self.site.rng.random() < 0.1
+                most_s = LONG_PAUSE_S if is_long else SHORT_PAUSE_S
+                await sleep(self.site.rng.uniform(0.0, most_s))
             flow.ended = True
             if not pending or (opened and not idempotent):
                 break
--- a/tests/soak/promises.py
+++ b/tests/soak/promises.py
@@ -20,15 +20,18 @@
         self.violations = []
         self.served = self.unserved = 0
         self.runs = defaultdict(list)
-        self.owners = {}  # server that ran a request of the flow, by flow
+        self.owners = {}  # server at which the flow is open, by flow
         self.strays = defaultdict(list)
 
     def fail(self, promise, text):
         self.violations.append(f"{monotonic() - self.site.began:.2f} {promise}: {text}")
 
+    def on_open(self, server, packet):
+        """A server has the end of the handshake of a flow."""
+        self.owners[packet[:4]] = server
+
     def on_run(self, server, packet):
         request = bytes(packet.data).decode()
-        self.owners[packet[:4]] = server
         self.runs[request].append(server.name)
         if request.startswith("post") and len(self.runs[request]) > 1:
             self.fail("ONCE", f"{request} ran on {self.runs[request]}")
@@ -67,6 +70,25 @@
         ):
             self.fail("FLOW", f"{flow.port} at {owner.name} was reset")
 
+    def on_server_reset(self, server, packet, instance):
+        """A server resets a flow that it does not have."""
+        now = monotonic()
+        owner = self.owners.get(packet[:4])
+        route = ".".join(map(str, packet.dst)), packet.dport
+        if (
+            owner is not None
+            and owner.left_at is None
+            and route not in self.site.dropped_at
+            and not self.site.is_disturbed(owner, now)
+            and not self.site.is_disturbed(server, now)
+            and self.site.in_touch(instance, now)
+        ):
+            self.fail(
+                "FLOW",
+                f"{packet.sport} of {owner.name} was reset by {server.name}, "
+                f"by way of {instance}",
+            )
+
     def on_unserved(self, request, since):
         self.unserved += 1
         if self.site.calm_at and since > self.site.calm_at:
--- a/tests/soak/test_promises.py
+++ b/tests/soak/test_promises.py
@@ -48,13 +48,13 @@
 
 
 def reset(promises):
-    promises.on_run(server(), packet(data=b"get-1"))
+    promises.on_open(server(), packet())
     caller = SimpleNamespace(packed=b"\x7f\0\0\1")
     promises.on_reset(SimpleNamespace(port=7, route=ROUTE, caller=caller))
 
 
 def stray(promises):
-    promises.on_run(server(), packet(data=b"get-1"))
+    promises.on_open(server(), packet())
     for _ in range(2):
         promises.on_forwarded(server("s2"), packet(), "i1")
     promises.strays[packet()[:4]][0] -= 3.0
@@ -96,6 +96,20 @@
     assert [line.split()[1] for line in promises.violations] == [f"{promise}:"]
 
 
+def test_reset_of_an_open_flow_by_another_server_is_reported():
+    promises = Promises(FakeSite())
+    promises.on_open(server(), packet())
+    promises.on_server_reset(server("s2"), packet(), "i1")
+    assert "FLOW" in promises.violations[0]
+
+
+def test_reset_after_the_server_of_the_flow_has_left_is_allowed():
+    promises = Promises(FakeSite())
+    promises.on_open(server(left_at=monotonic()), packet())
+    promises.on_server_reset(server("s2"), packet(), "i1")
+    assert not promises.violations
+
+
 def test_packets_of_an_open_flow_at_another_server_are_reported():
     promises = Promises(FakeSite())
     stray(promises)
