Test that SYNs are placed after a quiet time

An instance that did not read its socket while nothing arrives would take a SYN that has just arrived for one that waited, and drop it. One test each for the startup loop (it fails if the loop reads only a readable socket) and the event loop.

--- a/tests/runtime/test_forwarder.py
+++ b/tests/runtime/test_forwarder.py
@@ -4,6 +4,8 @@
 from socket import AF_INET, SOCK_DGRAM
 from socket import socket as Socket  # noqa: N812
 
+import anyio
+import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
@@ -12,6 +14,8 @@
 from magnoliaslip.dataplane.udp_socket import BATCH_DATAGRAMS
 from magnoliaslip.registry.store_client import ChangeBatch, RoutesChange, ServerChange
 from magnoliaslip.runtime.forwarder import TagForwarder
+from magnoliaslip.runtime.process import SteeringInstance
+from magnoliaslip.runtime.startup_loop import StartupLoop
 from magnoliaslip.steering.reachability import CORRECTION_TIME_S
 from magnoliaslip.steering.tags import flow_tag, server_key
 from tests.steering.harness import DESK_ENDPOINT, RecordingLog, routes, server
@@ -205,3 +209,41 @@
         send(syn(copy=2, port=2))
         each.handle_pending()
         assert [raw for _, raw, _ in each.router._link.sent] == [syn(2, 2)[:20]]
+
+
+def test_syn_that_arrives_during_a_quiet_start_is_placed():
+    # The startup loop empties the socket also when nothing has arrived.
+    with receiving_forwarder() as (each, clock, send), Socket() as readiness:
+        readiness.bind(("127.0.0.1", 0))
+        readiness.listen()
+        startup_loop = StartupLoop(each, readiness)
+        for _ in range(10):  # imports
+            startup_loop.serve_pending()
+            clock.advance(0.1)
+        send(syn())
+        startup_loop.serve_pending()
+        assert each.counters["forwarded"] == 1
+
+
+class EndOfTestError(Exception):
+    """Ends a task that runs until cancelled."""
+
+
+def test_syn_that_arrives_after_a_quiet_time_is_placed(monkeypatch):
+    with receiving_forwarder() as (each, clock, send):
+        instance = object.__new__(SteeringInstance)
+        instance._forwarder = each
+        remaining = list(range(10))
+
+        async def advance(seconds):
+            clock.advance(seconds)
+            if not remaining:
+                raise EndOfTestError
+            if remaining.pop() == 0:
+                send(syn())
+
+        monkeypatch.setattr("magnoliaslip.runtime.process.sleep", advance)
+        with pytest.raises(EndOfTestError):
+            anyio.run(instance._read_when_idle)
+        assert each.counters["forwarded"] == 1
+        assert "drop_superseded" not in each.counters
