--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -185,7 +185,7 @@
 
     def _pick_ports(self):
         names = ("datagram_listener", "readiness_address", "control")
-        while True:
+        for _ in range(100):
             ports = {name: self.rng.randint(20000, 30000) for name in names}
             try:
                 if len(set(ports.values())) < 3:
@@ -199,6 +199,7 @@
                 return ports
             except OSError:
                 continue
+        raise RuntimeError("no free ports")
 
     def settings(self, host):
         """Return the fields that the platform fills into the template."""
