--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -100,7 +100,9 @@
             self.items[key] = item
             self.events.append(item)
             self.changed.notify_all()
-        self.record(f"store acknowledged {key} = {json.dumps(value)}")
+        text = json.dumps(value)
+        text = text if len(text) < 2000 else f"{len(text)} bytes, {text[:60]}..."
+        self.record(f"store acknowledged {key} = {text}")
         return time.monotonic()
 
     def remove(self, key):
@@ -169,6 +171,7 @@
     def __init__(self, record, zones, *, seed=1):
         self.record, self.rng = record, Random(seed)
         self.store = Store(record)
+        self.store_addresses = {}  # of proxies, by host
         self.folder = tempfile.TemporaryDirectory()
         base = f"127.{self.rng.randint(20, 200)}.{os.getpid() % 250}"
         self.base = base
@@ -217,7 +220,7 @@
                 name: f"{host}:{port}" for name, port in self.ports.items()
             },
             "seeds": [f"{h}:{self.ports['control']}" for h in self.hosts[:3]],
-            "platform": {"address": self.store.address},
+            "platform": {"address": self.store_addresses.get(host, self.store.address)},
         }
 
     @staticmethod
